--- /dev/null
+++ b/api/src/main/kotlin/org/jacinthlink/api/CallRequest.kt
@@ -0,0 +1,34 @@
+package org.jacinthlink.api
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Call to a plain service through its sidecar (`POST /v1/calls`).
+ *
+ * @property idempotencyKey Key of the caller; absent for calls that may be repeated.
+ * @property bodyHash Hash over method, path and body; a key is bound to it.
+ */
+@Serializable
+data class CallRequest(
+    val requestId: RequestId,
+    val workspace: WorkspaceId,
+    val workClass: String,
+    val service: String,
+    val method: String,
+    val path: String,
+    val headers: Map<String, String>,
+    val body: String,
+    val idempotencyKey: String? = null,
+    val bodyHash: String,
+    val remainingMs: Long
+)
+
+/** Asks that a call with [idempotencyKey] never run (`POST /v1/calls/cancel`). */
+@Serializable
+data class CallCancel(
+    val requestId: RequestId,
+    val workspace: WorkspaceId,
+    val service: String,
+    val idempotencyKey: String,
+    val bodyHash: String
+)
--- /dev/null
+++ b/api/src/main/kotlin/org/jacinthlink/api/ErrorBody.kt
@@ -0,0 +1,22 @@
+package org.jacinthlink.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** JSON body of every error answer. */
+@Serializable
+data class ErrorBody(val error: ErrorDetail)
+
+/** Content of an [ErrorBody]. */
+@Serializable
+data class ErrorDetail(
+    val code: Int,
+    val name: String,
+    val message: String,
+    @SerialName("not_run") val notRun: Boolean,
+    @SerialName("request_id") val requestId: String? = null
+)
+
+/** Error body for [code]. */
+fun errorBody(code: ResultCode, message: String, requestId: RequestId? = null) =
+    ErrorBody(ErrorDetail(code.number, code.name, message, code.notRun, requestId?.value))
--- /dev/null
+++ b/api/src/main/kotlin/org/jacinthlink/api/Role.kt
@@ -0,0 +1,14 @@
+package org.jacinthlink.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Role of a process of the system. */
+@Serializable
+enum class Role {
+    @SerialName("entry")
+    ENTRY,
+
+    @SerialName("sidecar")
+    SIDECAR
+}
--- /dev/null
+++ b/api/src/main/kotlin/org/jacinthlink/api/StreamEvent.kt
@@ -0,0 +1,39 @@
+package org.jacinthlink.api
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** One JSON line of the answer to a [StreamOpen]. */
+@Serializable
+sealed interface StreamEvent {
+    /** The request is queued. */
+    @Serializable
+    @SerialName("accepted")
+    data class Accepted(val load: LoadReport) : StreamEvent
+
+    /** The generated token number [index]; the first of a request has index 0 on any attempt. */
+    @Serializable
+    @SerialName("token")
+    data class Token(val index: Int, val text: String) : StreamEvent
+
+    /** Sent while no token is due, so that a silent connection is noticed. */
+    @Serializable
+    @SerialName("heartbeat")
+    data class Heartbeat(val load: LoadReport) : StreamEvent
+
+    /** The stream is complete with [tokenCount] generated tokens over all attempts. */
+    @Serializable
+    @SerialName("end")
+    data class End(val reason: String, val tokenCount: Int) : StreamEvent
+
+    /** The stream was refused or failed; [notRun] is true only if no layer ran. */
+    @Serializable
+    @SerialName("refused")
+    data class Refused(
+        val code: ResultCode,
+        val message: String,
+        val notRun: Boolean,
+        val retryAfterMs: Long = 0,
+        val backendServerCrashed: Boolean = false
+    ) : StreamEvent
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -0,0 +1,107 @@
+package org.jacinthlink.runtime.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.undertow.io.Receiver
+import io.undertow.server.HttpServerExchange
+import io.undertow.util.HeaderMap
+import io.undertow.util.HttpString
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicInteger
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.jacinthlink.api.ResultCode
+
+/** Runs an http4k handler on Undertow's workers; a [PushBody] continues without a thread. */
+internal class UndertowHandler(private val handler: HttpHandler, private val limits: ServerLimits) :
+    io.undertow.server.HttpHandler {
+    private val openExchanges = AtomicInteger()
+
+    override fun handleRequest(exchange: HttpServerExchange) {
+        openExchanges.incrementAndGet()
+        exchange.addExchangeCompleteListener { _, next ->
+            openExchanges.decrementAndGet()
+            next.proceed()
+        }
+        val receiver = exchange.requestReceiver
+        receiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
+        receiver.receiveFullBytes(
+            { received, body -> received.dispatch(Runnable { serve(received, body) }) },
+            { failed, cause -> failed.dispatch(Runnable { serveReadFailure(failed, cause) }) }
+        )
+    }
+
+    private fun serveReadFailure(exchange: HttpServerExchange, cause: IOException) {
+        if (cause is Receiver.RequestToLargeException) {
+            exchange.isPersistent = false
+            send(
+                exchange,
+                errorResponse(
+                    ResultCode.BODY_TOO_LARGE,
+                    "the body exceeds ${limits.maxBodyBytes} bytes"
+                )
+            )
+        } else {
+            exchange.endExchange()
+        }
+    }
+
+    private fun serve(exchange: HttpServerExchange, body: ByteArray) {
+        try {
+            send(exchange, respond(exchange, body))
+        } catch (e: Exception) {
+            logger.warn(e) { "event=response_failed" }
+            exchange.endExchange()
+        }
+    }
+
+    private fun send(exchange: HttpServerExchange, response: Response) {
+        exchange.statusCode = response.status.code
+        response.headers.forEach { (name, value) ->
+            if (value != null) exchange.responseHeaders.add(HttpString(name), value)
+        }
+        when (val body = response.body) {
+            is PushBody -> body.onStart(UndertowPushSink(exchange))
+            else -> exchange.responseSender.send(body.payload.duplicate())
+        }
+    }
+
+    private fun respond(exchange: HttpServerExchange, body: ByteArray): Response =
+        if (openExchanges.get() > limits.maxConnections) {
+            errorResponse(ResultCode.OVERLOADED, "too many open requests")
+        } else {
+            handleSafely(exchange, body)
+        }
+
+    private fun handleSafely(exchange: HttpServerExchange, body: ByteArray): Response {
+        val method =
+            Method.entries.firstOrNull { it.name == exchange.requestMethod.toString() }
+                ?: return errorResponse(
+                    ResultCode.METHOD_NOT_ALLOWED,
+                    "method ${exchange.requestMethod} is not supported"
+                )
+        return try {
+            handler(toRequest(exchange, method, body))
+        } catch (e: Exception) {
+            logger.error(e) { "event=handler_failed path=${exchange.requestPath}" }
+            errorResponse(ResultCode.INTERNAL_ERROR, "internal error: ${e.javaClass.simpleName}")
+        }
+    }
+
+    private fun toRequest(exchange: HttpServerExchange, method: Method, body: ByteArray): Request {
+        val query = exchange.queryString.let { if (it.isEmpty()) "" else "?$it" }
+        return Request(method, exchange.requestURI + query)
+            .headers(exchange.requestHeaders.toHttp4k())
+            .body(Body(ByteBuffer.wrap(body)))
+    }
+
+    private fun HeaderMap.toHttp4k(): List<Pair<String, String?>> =
+        flatMap { values -> values.map { values.headerName.toString() to it } }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowServer.kt
@@ -0,0 +1,36 @@
+package org.jacinthlink.runtime.http
+
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import java.net.InetSocketAddress
+import org.http4k.core.HttpHandler
+
+/** Starts a server for [handler] on [host]:[port]; port 0 takes a free one. */
+fun startHttpServer(
+    host: String,
+    port: Int,
+    limits: ServerLimits,
+    handler: HttpHandler
+): HttpServer {
+    val undertow =
+        Undertow.builder()
+            .addHttpListener(port, host)
+            .setIoThreads(limits.ioThreads)
+            .setWorkerThreads(limits.workerThreads)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.requestTimeoutMs)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_TIMEOUT_MS)
+            .setHandler(UndertowHandler(handler, limits))
+            .build()
+    undertow.start()
+    return UndertowServer(undertow)
+}
+
+private const val IDLE_CONNECTION_TIMEOUT_MS = 60_000
+
+private class UndertowServer(private val undertow: Undertow) : HttpServer {
+    override val port: Int =
+        (undertow.listenerInfo.first().address as InetSocketAddress).port
+
+    override fun stop() = undertow.stop()
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
@@ -0,0 +1,22 @@
+package org.jacinthlink.runtime.membership
+
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.InstanceId
+
+/** Instances of the system as this process knows them. */
+interface Membership {
+    /** All instances that are neither leaving nor known to be unreachable. */
+    fun instances(): List<KnownInstance>
+
+    /** Excludes [instance] at once, on this process' own evidence, until it answers again. */
+    fun reportUnreachable(instance: InstanceId)
+
+    /** Excludes [instance] from new work at once, because one of its answers said so. */
+    fun reportDraining(instance: InstanceId)
+
+    /** Calls [listener] after each change. */
+    fun addListener(listener: () -> Unit)
+}
+
+/** An instance and the time at which it last described itself. */
+data class KnownInstance(val description: InstanceDescription, val describedAtMs: Long)
