--- a/api/src/main/kotlin/org/jacinthlink/api/ErrorBody.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/ErrorBody.kt
@@ -17,6 +17,10 @@
     @SerialName("request_id") val requestId: String? = null
 )
 
-/** Error body for [code]. */
-fun errorBody(code: ResultCode, message: String, requestId: RequestId? = null) =
-    ErrorBody(ErrorDetail(code.number, code.name, message, code.notRun, requestId?.value))
+/** Error body for [code]. [notRun] overrides the code's promise when something ran before. */
+fun errorBody(
+    code: ResultCode,
+    message: String,
+    requestId: RequestId? = null,
+    notRun: Boolean = code.notRun
+) = ErrorBody(ErrorDetail(code.number, code.name, message, notRun, requestId?.value))
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/Responses.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/Responses.kt
@@ -12,13 +12,14 @@
 fun errorResponse(
     code: ResultCode,
     message: String,
-    requestId: RequestId? = null
+    requestId: RequestId? = null,
+    notRun: Boolean = code.notRun
 ): Response =
     jsonResponse(
         Status(code.httpStatus, null),
         ProtocolJson.encodeToString(
             ErrorBody.serializer(),
-            errorBody(code, message, requestId)
+            errorBody(code, message, requestId, notRun)
         )
     )
 
