--- a/cli/src/main/kotlin/org/jacinthlink/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/ExitCode.kt
@@ -7,5 +7,5 @@
     REFUSED(4),
     UNREACHABLE(5),
     OUTCOME_UNKNOWN(6),
-    INCOMPLETE(7),
+    INCOMPLETE(7)
 }
--- /dev/null
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/Main.kt
@@ -0,0 +1,3 @@
+package org.jacinthlink.cli
+
+fun main(args: Array<String>) = runCommandLine(listOf<Command>(), args)
--- a/cli/src/main/kotlin/org/jacinthlink/cli/admin/AdminClient.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/admin/AdminClient.kt
@@ -11,7 +11,7 @@
 class AdminClient(
     private val entryAddress: String,
     private val operatorToken: String,
-    private val client: PeerClient,
+    private val client: PeerClient
 ) {
     /** Sends one call and returns its body, or the reason why there is none. */
     fun call(method: String, path: String, body: String? = null, ifMatch: Long? = null) =
@@ -31,12 +31,12 @@
             is PeerResult.NotSent ->
                 AdminAnswer.Failed(
                     ExitCode.UNREACHABLE,
-                    "entry $entryAddress cannot be reached: ${result.message}",
+                    "entry $entryAddress cannot be reached: ${result.message}"
                 )
             is PeerResult.Unknown ->
                 AdminAnswer.Failed(
                     ExitCode.OUTCOME_UNKNOWN,
-                    "entry $entryAddress did not answer, the outcome is unknown: ${result.message}",
+                    "entry $entryAddress did not answer, the outcome is unknown: ${result.message}"
                 )
         }
 
