--- a/api/src/main/kotlin/org/jacinthlink/api/Headers.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/Headers.kt
@@ -8,4 +8,16 @@
     const val REVISION = "x-jacinthlink-revision"
     const val IDEMPOTENCY_KEY = "Idempotency-Key"
     const val REPLAYED = "x-jacinthlink-replayed"
+
+    /** Hybrid logical clock of the sender. */
+    const val CLOCK = "x-jacinthlink-clock"
+
+    /** Secret that the processes of one system share. */
+    const val PEER_TOKEN = "x-jacinthlink-peer-token"
+
+    /** Host and port of the sending process. */
+    const val SENDER = "x-jacinthlink-sender"
+
+    /** Instance id of an answering process that is draining. */
+    const val DRAINING = "x-jacinthlink-draining"
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -0,0 +1,110 @@
+package org.jacinthlink.runtime.daemon
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.jacinthlink.api.Headers
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.runtime.events.Event
+import org.jacinthlink.runtime.http.errorResponse
+import org.jacinthlink.runtime.http.jsonResponse
+import org.jacinthlink.runtime.membership.PeerInstanceList
+
+/** Endpoints that every daemon serves; all others go to the daemon's own handler. */
+internal class DaemonEndpoints(private val shell: HttpDaemonShell) {
+    /** Serves one request. A fault of a handler becomes an answer and never ends the process. */
+    fun handle(request: Request): Response {
+        val response =
+            try {
+                route(request)
+            } catch (e: Throwable) {
+                shell.handlerFailed(request, e)
+                errorResponse(
+                    ResultCode.INTERNAL_ERROR,
+                    "internal error: ${e.javaClass.simpleName}"
+                )
+            }
+        return shell.withAnswerHeaders(response)
+    }
+
+    private fun route(request: Request): Response {
+        val path = request.uri.path
+        val fromPeer = shell.protocol.isFromPeer(request)
+        if (fromPeer) shell.protocol.observe(request, shell.sync)
+        return when {
+            path == "/health" -> health()
+            path == "/metrics" -> Response(Status.OK).body(shell.scrapeMetrics())
+            fromPeer -> (common(path) ?: shell.logic.handler)(request)
+            shell.logic.isOpen(path) -> shell.logic.handler(request)
+            else -> errorResponse(ResultCode.UNAUTHORIZED, "the peer token is missing or wrong")
+        }
+    }
+
+    private fun common(path: String): HttpHandler? =
+        when (path) {
+            "/v1/describe" -> ::describe
+            "/v1/config" -> shell.configurationEndpoint::handle
+            "/v1/instances" -> { _ -> instances() }
+            "/v1/events" -> ::events
+            "/v1/drain" -> ::drain
+            else -> null
+        }
+
+    /** A load balancer takes a process out when this is not 200. */
+    private fun health(): Response =
+        if (shell.draining) {
+            errorResponse(ResultCode.DRAINING, "the process is stopping")
+        } else {
+            jsonResponse(Status.OK, """{"status":"up"}""")
+        }
+
+    private fun describe(request: Request): Response =
+        when (request.method) {
+            Method.GET -> {
+                request.header(Headers.SENDER)?.let(shell::describeAsked)
+                jsonResponse(Status.OK, encodeDescription(shell.describe()))
+            }
+            Method.POST -> announced(request)
+            else -> errorResponse(ResultCode.METHOD_NOT_ALLOWED, "use GET or POST")
+        }
+
+    private fun announced(request: Request): Response =
+        try {
+            val serializer = InstanceDescription.serializer()
+            shell.announced(ProtocolJson.decodeFromString(serializer, request.bodyString()))
+            Response(Status.NO_CONTENT)
+        } catch (_: SerializationException) {
+            errorResponse(ResultCode.MALFORMED_REQUEST, "not a description")
+        }
+
+    private fun instances(): Response =
+        jsonResponse(
+            Status.OK,
+            ProtocolJson.encodeToString(PeerInstanceList.serializer(), shell.listForPeers())
+        )
+
+    private fun events(request: Request): Response {
+        val events = shell.eventLog.recent(request.query("request_id")?.let(::RequestId))
+        val serializer = ListSerializer(Event.serializer())
+        return jsonResponse(Status.OK, ProtocolJson.encodeToString(serializer, events))
+    }
+
+    private fun drain(request: Request): Response {
+        if (request.method != Method.POST) {
+            return errorResponse(ResultCode.METHOD_NOT_ALLOWED, "use POST")
+        }
+        shell.drain()
+        return jsonResponse(Status.ACCEPTED, """{"draining":true}""")
+    }
+}
+
+/** JSON of [description]. */
+internal fun encodeDescription(description: InstanceDescription): String =
+    ProtocolJson.encodeToString(InstanceDescription.serializer(), description)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonLogic.kt
@@ -0,0 +1,30 @@
+package org.jacinthlink.runtime.daemon
+
+import org.http4k.core.HttpHandler
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.LoadReport
+
+/** What one kind of daemon adds to a [DaemonShell]. It ends with the scope of its context. */
+interface DaemonLogic {
+    /** Serves all paths that the shell does not serve. */
+    val handler: HttpHandler
+
+    /** True if callers reach [path] without the peer token, because [handler] checks them. */
+    fun isOpen(path: String): Boolean = false
+
+    /** What `GET /v1/describe` tells of this daemon. */
+    fun state(): DaemonState
+
+    /** Number of requests in execution; a graceful stop waits until it is 0. */
+    fun openWork(): Int
+
+    /** Called once when a graceful stop begins. */
+    fun onDrain() = Unit
+}
+
+/** Changing part of a description. */
+data class DaemonState(
+    val ready: Boolean = true,
+    val holding: Holding? = null,
+    val load: LoadReport? = null
+)
