Keep the content type that a call names

OkHttp replaces the Content-Type header by the media type of the request body, so every body was sent as JSON. The body now takes the media type of the call's header.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -9,6 +9,7 @@
 import okhttp3.Dispatcher
 import okhttp3.EventListener
 import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody
@@ -75,11 +76,17 @@
 
     private fun bodyOf(call: PeerCall): RequestBody? =
         when {
-            call.body != null -> call.body.toRequestBody(JSON)
+            call.body != null -> call.body.toByteArray().toRequestBody(contentType(call))
             call.method in setOf("POST", "PUT", "PATCH") -> "".toRequestBody(JSON)
             else -> null
         }
 
+    private fun contentType(call: PeerCall) =
+        call.headers.entries.firstOrNull { it.key.equals("content-type", ignoreCase = true) }
+            ?.value
+            ?.toMediaTypeOrNull()
+            ?: JSON
+
     private fun newClient(pool: ConnectionPool) =
         OkHttpClient.Builder()
             .dispatcher(
