--- /dev/null
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/FaultProxySettings.kt
@@ -0,0 +1,19 @@
+package org.jacinthlink.standins
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of the fault proxy.
+ *
+ * @property controlPort Port of the control interface; 0 takes a free one.
+ */
+@Serializable
+data class FaultProxySettings(
+    val host: String = "127.0.0.1",
+    val controlPort: Int = 0,
+    val listeners: List<ProxyListenerSettings> = emptyList()
+)
+
+/** Listener [name] on [port] that passes connections on to [target], as `127.0.0.1:7101`. */
+@Serializable
+data class ProxyListenerSettings(val name: String, val target: String, val port: Int = 0)
