Add the routing decisions: fair queue, admission, head choice, flow plan

Heads need one queue that is fair between classes and workspaces, and entries need a choice of head that neither herds nor overloads a pipeline.

FairQueue shares tokens between classes by worth, with the shortest target first inside its share, and between workspaces by virtual token counters. Admission bounds each class and refuses work that cannot start in time. HeadChoice, Subset and RetryBudget serve the entries; FlowPlan computes the maximum flow over the stages of a model and gives out routes in proportion.

--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/ClassQueue.kt
@@ -0,0 +1,106 @@
+package org.jacinthlink.decision.routing
+
+import java.util.TreeSet
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.WorkspaceId
+
+/**
+ * Waiting requests of one class, fair between workspaces by virtual token counters (VTC).
+ *
+ * The workspace with the smallest counter goes next. A workspace that returns after a pause starts
+ * at the smallest counter of the active ones, so that idle time earns no credit.
+ */
+internal class ClassQueue(val name: String, var workClass: WorkClass) {
+    private val accounts = HashMap<WorkspaceId, WorkspaceAccount>()
+    private val active = TreeSet(WorkspaceAccount.ORDER)
+
+    // Counter that the latest service reached; a returning workspace starts here when all are idle.
+    private var floor = 0.0
+
+    var virtualTime = 0.0
+    var size = 0
+        private set
+    var waitingTokens = 0L
+        private set
+
+    val isActive: Boolean get() = size > 0
+    val activeWorkspaces: Int get() = active.size
+
+    fun offer(request: QueuedRequest) {
+        val account = accounts.getOrPut(request.workspace) { WorkspaceAccount(request.workspace) }
+        if (!account.isActive) activate(account)
+        account.add(request)
+        size++
+        waitingTokens += request.costTokens
+    }
+
+    /** Removes the next request that still can meet its deadline; others go to [expired]. */
+    fun poll(nowMs: Long, expired: MutableList<QueuedRequest>): QueuedRequest? {
+        while (active.isNotEmpty()) {
+            val account = active.first()
+            floor = account.counter
+            val request = account.removeFirst()
+            counted(listOf(request))
+            if (!account.isActive) active.remove(account)
+            if (request.deadlineAtMs >= nowMs) return request
+            expired += request
+        }
+        return null
+    }
+
+    fun charge(workspace: WorkspaceId, tokens: Double) {
+        val account = accounts.getOrPut(workspace) { WorkspaceAccount(workspace) }
+        val wasActive = active.remove(account)
+        account.counter += tokens
+        if (wasActive) active += account
+        if (accounts.size > MAX_IDLE_ACCOUNTS) pruneIdle()
+    }
+
+    fun removeAll(
+        workspace: WorkspaceId? = null,
+        selected: (QueuedRequest) -> Boolean
+    ): List<QueuedRequest> {
+        val affected = active.filter { workspace == null || it.workspace == workspace }
+        val removed = affected.flatMap { it.removeAll(selected) }
+        counted(removed)
+        affected.filterNot { it.isActive }.forEach(active::remove)
+        return removed
+    }
+
+    fun waitingOf(workspace: WorkspaceId): Int = accounts[workspace]?.waiting?.size ?: 0
+
+    /** Tokens that this class serves before a new request of [workspace]. */
+    fun tokensAhead(workspace: WorkspaceId): Double {
+        val own = accounts[workspace]
+        val ownTurn = maxOf(own?.counter ?: 0.0, returnCounter()) + (own?.waitingTokens ?: 0L)
+        return active.sumOf { other ->
+            if (other.workspace == workspace) {
+                other.waitingTokens.toDouble()
+            } else {
+                (ownTurn - other.counter).coerceIn(0.0, other.waitingTokens.toDouble())
+            }
+        }
+    }
+
+    private fun activate(account: WorkspaceAccount) {
+        account.counter = maxOf(account.counter, returnCounter())
+        active += account
+    }
+
+    private fun returnCounter(): Double = if (active.isEmpty()) floor else active.first().counter
+
+    private fun counted(removed: List<QueuedRequest>) {
+        size -= removed.size
+        waitingTokens -= removed.sumOf { it.costTokens.toLong() }
+    }
+
+    // An idle account at or below the return counter would be lifted there anyway.
+    private fun pruneIdle() {
+        val start = returnCounter()
+        accounts.values.removeIf { !it.isActive && it.counter <= start }
+    }
+
+    private companion object {
+        const val MAX_IDLE_ACCOUNTS = 4_096
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/FairQueue.kt
@@ -0,0 +1,155 @@
+package org.jacinthlink.decision.routing
+
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.WorkspaceId
+
+/**
+ * Waiting requests, shared fairly between classes and between the workspaces of a class.
+ *
+ * Each class has a virtual time that grows by its charged tokens over its worth. Classes with
+ * waiting work whose virtual time is at or below the worth-weighted mean of all such classes are
+ * inside their share; the one with the shortest target goes next. A class that returns after a
+ * pause starts at the mean, so that unused shares are lent and never saved up. Resumed requests go
+ * before all others and are charged alike.
+ *
+ * Not safe for use by several threads.
+ */
+class FairQueue internal constructor(private var classes: Map<String, WorkClass>) {
+    private val queues = HashMap<String, ClassQueue>()
+    private val resumed = ArrayDeque<QueuedRequest>()
+    private val expired = ArrayList<QueuedRequest>()
+    private var meanVirtualTime = 0.0
+
+    /** Requests that wait. */
+    val size: Int get() = queues.values.sumOf { it.size } + resumed.size
+
+    /** Tokens of the requests that wait. */
+    val waitingTokens: Long
+        get() = queues.values.sumOf { it.waitingTokens } + resumed.sumOf { it.costTokens.toLong() }
+
+    /** Puts the configured [classes] in force. Work of a removed class keeps waiting. */
+    fun update(classes: Map<String, WorkClass>) {
+        this.classes = classes
+        queues.values.forEach { it.workClass = classOf(it.name) }
+        queues.values.removeIf { !it.isActive && it.name !in classes }
+    }
+
+    /** Adds [request]. */
+    fun offer(request: QueuedRequest) {
+        if (request.resumed) {
+            resumed.addLast(request)
+            return
+        }
+        val queue = queueOf(request.workClass)
+        if (!queue.isActive) activate(queue)
+        queue.offer(request)
+    }
+
+    /** Removes the next request to run and charges its cost; null if none can run in time. */
+    fun poll(nowMs: Long): QueuedRequest? {
+        val next = pollResumed(nowMs) ?: pollShared(nowMs) ?: return null
+        charge(next, next.costTokens)
+        return next
+    }
+
+    /** Charges [tokens] more to the class and workspace of [request]; negative to refund. */
+    fun charge(request: QueuedRequest, tokens: Int) {
+        val queue = queueOf(request.workClass)
+        queue.virtualTime += tokens.toDouble() / queue.workClass.worth.coerceAtLeast(1)
+        queue.charge(request.workspace, tokens.toDouble())
+    }
+
+    /** Removes a waiting request, as when its caller has gone. */
+    fun remove(id: StreamKey): QueuedRequest? {
+        resumed.firstOrNull { it.id == id }?.let {
+            resumed.remove(it)
+            return it
+        }
+        return queues.values.firstNotNullOfOrNull { queue ->
+            queue.removeAll { it.id == id }.firstOrNull()
+        }
+    }
+
+    /** Removes all requests whose deadline has passed; they are never polled. */
+    fun takeExpired(nowMs: Long): List<QueuedRequest> {
+        val isExpired = { request: QueuedRequest -> request.deadlineAtMs < nowMs }
+        val found = expired + resumed.filter(isExpired) + queues.values.flatMap {
+            it.removeAll(selected = isExpired)
+        }
+        expired.clear()
+        resumed.removeAll(isExpired)
+        return found
+    }
+
+    /** Counts of waiting work that [Admission] bounds. */
+    fun occupancy(workClass: String, workspace: WorkspaceId): QueueOccupancy {
+        val queue = queues[workClass]
+        return QueueOccupancy(
+            classRequests = queue?.size ?: 0,
+            classTokens = queue?.waitingTokens ?: 0,
+            workspaceRequests = queue?.waitingOf(workspace) ?: 0,
+            activeWorkspaces = queue?.activeWorkspaces ?: 0
+        )
+    }
+
+    /** Tokens that are served before a new request of [workspace] in [workClass], at most. */
+    fun tokensAhead(workClass: String, workspace: WorkspaceId): Double {
+        val resumedTokens = resumed.sumOf { it.costTokens.toDouble() }
+        val own = queues[workClass]?.tokensAhead(workspace) ?: 0.0
+        val others = queues.values.filter { it.isActive && it.name != workClass }
+        val ownWorth = classOf(workClass).worth.coerceAtLeast(1)
+        val worth = ownWorth + others.sumOf { it.workClass.worth.coerceAtLeast(1) }
+        val atOwnShare = own * worth / ownWorth
+        return resumedTokens + minOf(atOwnShare, own + others.sumOf { it.waitingTokens })
+    }
+
+    private fun pollResumed(nowMs: Long): QueuedRequest? {
+        while (resumed.isNotEmpty()) {
+            val request = resumed.removeFirst()
+            if (request.deadlineAtMs >= nowMs) return request
+            expired += request
+        }
+        return null
+    }
+
+    private fun pollShared(nowMs: Long): QueuedRequest? {
+        while (true) {
+            val queue = nextQueue() ?: return null
+            queue.poll(nowMs, expired)?.let { return it }
+        }
+    }
+
+    private fun nextQueue(): ClassQueue? {
+        val active = queues.values.filter { it.isActive }
+        if (active.isEmpty()) return null
+        meanVirtualTime = meanOf(active)
+        val insideShare = active.filter { it.virtualTime <= meanVirtualTime }
+        return insideShare.minWithOrNull(URGENT_FIRST) ?: active.minBy { it.virtualTime }
+    }
+
+    private fun activate(queue: ClassQueue) {
+        val active = queues.values.filter { it.isActive }
+        if (active.isNotEmpty()) meanVirtualTime = meanOf(active)
+        queue.virtualTime = maxOf(queue.virtualTime, meanVirtualTime)
+    }
+
+    private fun meanOf(active: List<ClassQueue>): Double {
+        val worths = active.map { it.workClass.worth.coerceAtLeast(1) }
+        return active.zip(worths).sumOf { (queue, worth) -> queue.virtualTime * worth } /
+            worths.sum()
+    }
+
+    private fun queueOf(name: String) = queues.getOrPut(name) { ClassQueue(name, classOf(name)) }
+
+    private fun classOf(name: String): WorkClass =
+        classes[name] ?: WorkClass(name, targetMs = Long.MAX_VALUE, worth = 1)
+
+    private companion object {
+        val URGENT_FIRST: Comparator<ClassQueue> =
+            compareBy({ it.workClass.targetMs }, { -it.workClass.worth }, { it.name })
+    }
+}
+
+/** Creates an empty queue for [classes] by name. */
+fun fairQueue(classes: Map<String, WorkClass>): FairQueue = FairQueue(classes)
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/RouteRotation.kt
@@ -0,0 +1,34 @@
+package org.jacinthlink.decision.routing
+
+import org.jacinthlink.api.InstanceId
+
+/**
+ * Gives out the routes of a [FlowPlan] by smooth weighted round robin, so that each stage gets its
+ * part of the flow in any short run of requests.
+ *
+ * Not safe for use by several threads.
+ *
+ * @property head When given, only routes that start at this instance are used.
+ */
+class RouteRotation internal constructor(val plan: FlowPlan, val head: InstanceId?) {
+    private val routes =
+        plan.routes.filter { head == null || it.stages.first().instance == head }
+    private val credits = DoubleArray(routes.size)
+
+    /** Next route without [excluded]; null if the remaining stages do not hold all layers. */
+    fun next(excluded: Set<InstanceId> = emptySet()): List<FlowStage>? {
+        val usable =
+            routes.indices.filter { index ->
+                excluded.isEmpty() || routes[index].stages.none { it.instance in excluded }
+            }
+        if (usable.isEmpty()) return plan.detour(excluded, head)
+        usable.forEach { credits[it] += routes[it].tokensPerSecond }
+        val chosen = usable.maxBy { credits[it] }
+        credits[chosen] -= usable.sumOf { routes[it].tokensPerSecond }
+        return routes[chosen].stages
+    }
+}
+
+/** Creates a rotation over the routes of [plan], or over those that start at [head]. */
+fun routeRotation(plan: FlowPlan, head: InstanceId? = null): RouteRotation =
+    RouteRotation(plan, head)
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/WorkspaceAccount.kt
@@ -0,0 +1,32 @@
+package org.jacinthlink.decision.routing
+
+import org.jacinthlink.api.WorkspaceId
+
+/** Virtual token counter and waiting requests of one workspace in one class. */
+internal class WorkspaceAccount(val workspace: WorkspaceId) {
+    val waiting = ArrayDeque<QueuedRequest>()
+    var counter = 0.0
+    var waitingTokens = 0L
+
+    val isActive: Boolean get() = waiting.isNotEmpty()
+
+    fun add(request: QueuedRequest) {
+        waiting.addLast(request)
+        waitingTokens += request.costTokens
+    }
+
+    fun removeFirst(): QueuedRequest = waiting.removeFirst().also { waitingTokens -= it.costTokens }
+
+    fun removeAll(selected: (QueuedRequest) -> Boolean): List<QueuedRequest> {
+        val removed = waiting.filter(selected)
+        if (removed.isNotEmpty()) waiting.removeAll(selected)
+        waitingTokens -= removed.sumOf { it.costTokens.toLong() }
+        return removed
+    }
+
+    companion object {
+        /** Smallest counter first; the name makes the order total. */
+        val ORDER: Comparator<WorkspaceAccount> =
+            compareBy({ it.counter }, { it.workspace.value })
+    }
+}
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/routing/AdmissionSpec.kt
@@ -0,0 +1,89 @@
+package org.jacinthlink.decision.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.WorkspaceId
+
+class AdmissionSpec :
+    DescribeSpec({
+        val classes =
+            listOf(WorkClass("urgent", 1_000, worth = 9), WorkClass("archive", 60_000, worth = 1))
+                .associateBy { it.name }
+        var count = 0
+
+        fun request(name: String, workspace: String, cost: Int = 100, resumed: Boolean = false) =
+            QueuedRequest(
+                StreamKey(RequestId("r${count++}"), 0),
+                WorkspaceId(workspace),
+                name,
+                cost,
+                0,
+                classes.getValue(name).targetMs,
+                resumed
+            )
+
+        describe("admission") {
+            // Guards against callers who wait for an answer that must come too late.
+            it("refuses work whose expected wait exceeds its remaining time") {
+                val queue = fairQueue(classes)
+                repeat(20) { queue.offer(request("urgent", "w")) }
+                val late = request("urgent", "w")
+                val refused = admission().decide(queue, late, 1_000.0, 50.0, 0)
+                refused.shouldBeInstanceOf<AdmissionDecision.Refused>().code shouldBe
+                    ResultCode.DEADLINE_UNREACHABLE
+                admission().decide(queue, late, 10_000.0, 50.0, 0) shouldBe
+                    AdmissionDecision.Admitted
+                admission().decide(queue, late.copy(resumed = true), 1_000.0, 50.0, 0) shouldBe
+                    AdmissionDecision.Admitted
+            }
+
+            // Guards against an overnight backlog that makes urgent work look hopeless.
+            it("counts the backlog of another class only up to the own share") {
+                val queue = fairQueue(classes)
+                repeat(500) { queue.offer(request("archive", "w")) }
+                val next = request("urgent", "w")
+                admission().decide(queue, next, 1_000.0, 50.0, 0) shouldBe
+                    AdmissionDecision.Admitted
+            }
+
+            // Guards against large workspaces that fill the queue of a class and lock others out.
+            it("keeps room for a small workspace in a full class and for other classes") {
+                val queue = fairQueue(classes)
+                val limited = admission(AdmissionLimits(maxClassRequests = 10))
+                val decide = { next: QueuedRequest -> limited.decide(queue, next, 1e6, 0.0, 0) }
+                repeat(10) { queue.offer(request("archive", "large")) }
+                decide(request("archive", "large"))
+                    .shouldBeInstanceOf<AdmissionDecision.Refused>().code shouldBe
+                    ResultCode.OVERLOADED
+                decide(request("archive", "small")) shouldBe AdmissionDecision.Admitted
+                decide(request("urgent", "large")) shouldBe AdmissionDecision.Admitted
+                repeat(10) { queue.offer(request("archive", "w$it")) }
+                decide(request("archive", "other"))
+                    .shouldBeInstanceOf<AdmissionDecision.Refused>()
+            }
+        }
+
+        describe("the retry budget") {
+            // Guards against retries that multiply the load of a failing system.
+            it("lets no more than its burst and a tenth of the requests through") {
+                var budget = retryBudget(0)
+                var retries = 0
+                repeat(10_000) {
+                    budget = budget.onRequest(0)
+                    budget.withdraw(0)?.let {
+                        budget = it
+                        retries++
+                    }
+                }
+                // The first request adds nothing to the full budget: 200 + 9,999 / 10.
+                retries shouldBe 1_199
+                budget.withdraw(0) shouldBe null
+                (budget.withdraw(2_000) != null) shouldBe true
+            }
+        }
+    })
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/routing/FairQueueSpec.kt
@@ -0,0 +1,205 @@
+package org.jacinthlink.decision.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.WorkspaceId
+
+private val CLASSES =
+    listOf(
+        WorkClass("urgent", targetMs = 500, worth = 6),
+        WorkClass("middle", targetMs = 2_000, worth = 3),
+        WorkClass("archive", targetMs = 60_000, worth = 1)
+    ).associateBy { it.name }
+
+private class Requests {
+    private var count = 0
+
+    fun next(
+        workClass: String,
+        workspace: String = "w",
+        costTokens: Int = 10,
+        deadlineAtMs: Long = 1_000_000,
+        resumed: Boolean = false
+    ) = QueuedRequest(
+        StreamKey(RequestId("r${count++}"), 0),
+        WorkspaceId(workspace),
+        workClass,
+        costTokens,
+        0,
+        deadlineAtMs,
+        resumed
+    )
+}
+
+class FairQueueSpec :
+    DescribeSpec({
+
+        describe("classes") {
+            // Guards against a flood of one class taking the share of another.
+            it("get tokens in proportion to their worth while all are backlogged") {
+                checkAll(40, Arb.long(), Arb.int(20..400)) {
+                        seed,
+                        flood
+                    ->
+                    val random = Random(seed)
+                    val requests = Requests()
+                    val queue = fairQueue(CLASSES)
+                    val flooder = CLASSES.keys.random(random)
+                    val offer = { name: String ->
+                        queue.offer(
+                            requests.next(
+                                name,
+                                "w${random.nextInt(4)}",
+                                1 + random.nextInt(50)
+                            )
+                        )
+                    }
+                    CLASSES.keys.forEach { name -> repeat(5) { offer(name) } }
+                    repeat(flood) { offer(flooder) }
+                    val served = HashMap<String, Double>()
+                    repeat(3_000) {
+                        val request = queue.poll(0)!!
+                        val generated = random.nextInt(50)
+                        queue.charge(request, generated)
+                        served.merge(
+                            request.workClass,
+                            request.costTokens + generated.toDouble(),
+                            Double::plus
+                        )
+                        offer(request.workClass)
+                    }
+                    val total = served.values.sum()
+                    CLASSES.values.forEach {
+                        served.getValue(it.name) / total shouldBe (it.worth / 10.0 plusOrMinus 0.02)
+                    }
+                }
+            }
+
+            // Guards against capacity left idle, and against credit saved up while away.
+            it("lend an unused share and get no more than their share on return") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                repeat(1_000) { queue.offer(requests.next("archive")) }
+                repeat(500) { queue.poll(0)!!.workClass shouldBe "archive" }
+                repeat(500) { queue.offer(requests.next("urgent")) }
+                val next = List(70) { queue.poll(0)!!.workClass }
+                next.first() shouldBe "urgent"
+                next.count { it == "archive" } shouldBe 10
+            }
+
+            // Guards against urgent work waiting behind less urgent work that is inside its share.
+            it("go in the order of urgency inside their shares") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                listOf("archive", "middle", "urgent").forEach { queue.offer(requests.next(it)) }
+                List(3) { queue.poll(0)!!.workClass } shouldContainExactly
+                    listOf("urgent", "middle", "archive")
+            }
+        }
+
+        describe("workspaces of a class") {
+            // Guards against a small caller queueing behind the backlog of a large one.
+            it("with little demand go next, whatever a large one has queued") {
+                checkAll(100, Arb.long(), Arb.int(1..300)) {
+                        seed,
+                        backlog
+                    ->
+                    val random = Random(seed)
+                    val requests = Requests()
+                    val queue = fairQueue(CLASSES)
+                    repeat(backlog) {
+                        queue.offer(requests.next("middle", "large", 1 + random.nextInt(100)))
+                    }
+                    repeat(random.nextInt(backlog)) { queue.poll(0) }
+                    queue.offer(requests.next("middle", "small"))
+                    val position = generateSequence { queue.poll(0) }
+                        .indexOfFirst { it.workspace.value == "small" }
+                    position shouldBeLessThan 2
+                }
+            }
+
+            // Guards against a workspace that saves up credit while it is away.
+            it("share evenly after one of them returns") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                repeat(300) { queue.offer(requests.next("middle", "a")) }
+                repeat(100) { queue.poll(0) }
+                repeat(100) { queue.offer(requests.next("middle", "b")) }
+                List(100) { queue.poll(0)!!.workspace.value }.count { it == "b" } shouldBe 50
+            }
+        }
+
+        describe("requests") {
+            // Guards against a request that is lost or served twice on any path.
+            it("each leave the queue exactly once: polled, removed or expired") {
+                checkAll(
+                    200,
+                    Arb.long(),
+                    Arb.list(Arb.int(0..9), 1..200)
+                ) { seed, steps ->
+                    val random = Random(seed)
+                    val requests = Requests()
+                    val queue = fairQueue(CLASSES)
+                    val offered = ArrayList<QueuedRequest>()
+                    val left = ArrayList<QueuedRequest>()
+                    steps.forEachIndexed { now, step ->
+                        when (step) {
+                            in 0..5 ->
+                                requests.next(
+                                    (CLASSES.keys + "unknown").random(random),
+                                    "w${random.nextInt(3)}",
+                                    random.nextInt(20),
+                                    now + random.nextLong(60),
+                                    random.nextInt(10) == 0
+                                ).let {
+                                    offered += it
+                                    queue.offer(it)
+                                }
+                            in 6..7 -> queue.poll(now.toLong())?.let { left += it }
+                            8 -> offered.randomOrNull(random)?.let { queue.remove(it.id) }
+                                ?.let { left += it }
+                            else -> left += queue.takeExpired(now.toLong())
+                        }
+                    }
+                    left += generateSequence { queue.poll(steps.size.toLong()) }
+                    left += queue.takeExpired(Long.MAX_VALUE)
+                    queue.size shouldBe 0
+                    queue.waitingTokens shouldBe 0
+                    left shouldContainExactlyInAnyOrder offered
+                }
+            }
+
+            // Guards against work whose caller has given up taking capacity.
+            it("past their deadline are never polled") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                val late = requests.next("urgent", deadlineAtMs = 10)
+                val inTime = requests.next("urgent", deadlineAtMs = 100)
+                listOf(late, inTime).forEach(queue::offer)
+                queue.poll(50) shouldBe inTime
+                queue.takeExpired(50) shouldContainExactly listOf(late)
+            }
+
+            // Guards against a stream that waits out a queue after its head failed.
+            it("that resume a stream go first") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                repeat(5) { queue.offer(requests.next("urgent")) }
+                queue.offer(requests.next("archive", resumed = true))
+                queue.poll(0)!!.workClass shouldBe "archive"
+            }
+        }
+    })
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/routing/HeadChoiceSpec.kt
@@ -0,0 +1,103 @@
+package org.jacinthlink.decision.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.LoadReport
+
+class HeadChoiceSpec :
+    DescribeSpec({
+        val choice = headChoice("a")
+
+        fun head(id: String, zone: String = "a", waitMs: Double = 0.0, speed: Double = 100.0) =
+            HeadCandidate(InstanceId(id), zone, speed, LoadReport(expectedWaitMs = waitMs))
+
+        describe("the choice of a head") {
+            // Guards against a retry that goes back to the instance that just failed.
+            it("never takes an excluded head") {
+                val heads = listOf(head("x"), head("y", waitMs = 9e9))
+                repeat(50) {
+                    choice.choose(heads, setOf(InstanceId("x")), 0, Random(it))!!
+                        .instance.value shouldBe "y"
+                }
+                choice.choose(heads, heads.map { it.instance }.toSet(), 0, Random(1)) shouldBe null
+            }
+            // Guards against traffic that crosses zones without need, and against a full own zone.
+            it("prefers the own zone only while loads are similar") {
+                val near = listOf(head("near", "a", 102.0), head("far", "b", 100.0))
+                choice.choose(near, emptySet(), 0, Random(1))!!.instance.value shouldBe "near"
+                val full = listOf(head("near", "a", 900.0), head("far", "b", 100.0))
+                choice.choose(full, emptySet(), 0, Random(1))!!.instance.value shouldBe "far"
+            }
+            // Guards against all requests following one old report of an empty queue.
+            it("spreads requests by speed between two reports") {
+                val sent = hashMapOf("slow" to 0, "fast" to 0)
+                repeat(400) {
+                    val heads =
+                        listOf(head("slow", speed = 100.0), head("fast", speed = 300.0))
+                            .map { it.copy(sentSinceReport = sent.getValue(it.instance.value)) }
+                    val chosen = choice.choose(heads, emptySet(), 0, Random(it))!!
+                    sent.merge(chosen.instance.value, 1, Int::plus)
+                }
+                sent.getValue("fast") shouldBeInRange 280..320
+            }
+            // Guards against trust in reports that are out of date.
+            it("uses own requests in flight once a report is too old") {
+                val old = head("old").copy(inFlight = 50)
+                choice.waitMs(old, 1_999) shouldBe 0.0
+                choice.waitMs(old, 2_001) shouldBe 16_000.0
+            }
+        }
+
+        describe("the subset of heads") {
+            val zones =
+                (0 until 12).associate { InstanceId("h$it") to listOf("a", "b", "c")[it % 3] }
+
+            // Guards against an entry that loses all its heads with one zone.
+            it("spreads over all zones, the own zone first") {
+                checkAll(100, Arb.int()) { owner ->
+                    val subset = Subset.choose(InstanceId("e$owner"), "b", zones, 3)
+                    subset.map { zones.getValue(it) }.toSet() shouldHaveSize 3
+                    zones.getValue(subset.first()) shouldBe "b"
+                }
+            }
+            // Guards against all entries reconnecting when one head comes or goes.
+            it("keeps the other heads when one leaves") {
+                checkAll(100, Arb.int()) { owner ->
+                    val entry = InstanceId("e$owner")
+                    val before = Subset.choose(entry, "a", zones, 6)
+                    val gone = before.last()
+                    Subset.choose(entry, "a", zones - gone, 6) shouldContainAll before - gone
+                }
+            }
+            // Guards against heads that few entries know.
+            it("covers the heads evenly, and all of them in a small system") {
+                Subset.size(headCount = 10, entryCount = 3) shouldBe 10
+                Subset.size(headCount = 6, entryCount = 360) shouldBe 3
+                val known = HashMap<InstanceId, Int>()
+                repeat(360) { owner ->
+                    Subset.choose(InstanceId("entry-$owner"), "a", zones, 3)
+                        .forEach { known.merge(it, 1, Int::plus) }
+                }
+                known.values.min() shouldBeGreaterThan 60
+            }
+        }
+
+        describe("the rendezvous hash") {
+            // Guards against a rank that depends on the order of the instance list.
+            it("ranks alike for any order of instances") {
+                val ids = (0 until 20).map { InstanceId("i$it") }
+                RendezvousHash.rank("k", ids.shuffled(Random(3))) shouldContainExactly
+                    RendezvousHash.rank("k", ids)
+            }
+        }
+    })
