--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketEdit.kt
@@ -0,0 +1,102 @@
+package org.jacinthlink.decision.claims
+
+/** Working copy of a bucket while one batch of operations is applied to it. */
+internal class BucketEdit(
+    bucket: ClaimBucket,
+    private val nowMs: Long,
+    private val limits: ClaimLimits
+) {
+    val claims: MutableMap<String, Claim> = bucket.claims.toMutableMap()
+    var isChanged = false
+        private set
+    private var sizeBytes = bucket.sizeBytes
+
+    fun apply(operation: ClaimOperation): ClaimDecision =
+        when (operation) {
+            is ClaimOperation.Begin -> begin(operation)
+            is ClaimOperation.Complete -> complete(operation)
+            is ClaimOperation.Cancel -> cancel(operation)
+            is ClaimOperation.Release -> release(operation)
+        }
+
+    private fun begin(operation: ClaimOperation.Begin): ClaimDecision {
+        val present = claims[operation.key]
+        if (present != null) return decide(present, operation.bodyHash, operation.nonce)
+        val claim =
+            newClaim(operation, operation.bodyHash, ClaimState.CLAIMED)
+                .copy(dueAtMs = operation.dueAtMs)
+        return if (put(claim)) ClaimDecision.Owned else ClaimDecision.Full
+    }
+
+    private fun decide(claim: Claim, bodyHash: String, nonce: String): ClaimDecision =
+        when {
+            claim.bodyHash != bodyHash -> ClaimDecision.KeyReused
+            claim.state == ClaimState.DONE -> ClaimDecision.Done(claim.result)
+            claim.state == ClaimState.CANCELLED -> ClaimDecision.Cancelled
+            claim.nonce == nonce -> ClaimDecision.Owned
+            else -> ClaimDecision.Held(claim)
+        }
+
+    private fun complete(operation: ClaimOperation.Complete): ClaimDecision {
+        val present = claims[operation.key]
+        if (present != null) {
+            val decision = decide(present, operation.bodyHash, operation.nonce)
+            if (decision != ClaimDecision.Owned) return decision
+        }
+        val done =
+            newClaim(operation, operation.bodyHash, ClaimState.DONE)
+                .copy(claimedAtMs = present?.claimedAtMs ?: nowMs)
+        val recorded = done.copy(result = operation.result?.takeIf(::isRecordable))
+        // Without its result a claim that becomes done fits into the reserve made when it began.
+        if (!put(recorded)) replace(done)
+        return ClaimDecision.Done(claims.getValue(operation.key).result)
+    }
+
+    private fun isRecordable(result: RecordedResult): Boolean {
+        val headerBytes = result.headers.entries.sumOf { it.key.length + it.value.length }
+        return headerBytes + result.body.encodeToByteArray().size <= limits.maxResultBytes
+    }
+
+    private fun cancel(operation: ClaimOperation.Cancel): ClaimDecision {
+        val present = claims[operation.key]
+        if (present != null) {
+            val decision = decide(present, operation.bodyHash, operation.nonce)
+            if (decision != ClaimDecision.Owned) return decision
+        }
+        val cancelled = newClaim(operation, operation.bodyHash, ClaimState.CANCELLED)
+        return if (put(cancelled)) ClaimDecision.Cancelled else ClaimDecision.Full
+    }
+
+    private fun release(operation: ClaimOperation.Release): ClaimDecision {
+        val present = claims[operation.key]
+        if (present?.nonce == operation.nonce && present.state == ClaimState.CLAIMED) {
+            claims.remove(operation.key)
+            sizeBytes -= present.sizeBytes
+            isChanged = true
+        }
+        return ClaimDecision.Released
+    }
+
+    private fun newClaim(operation: ClaimOperation, bodyHash: String, state: ClaimState) =
+        Claim(
+            key = operation.key,
+            bodyHash = bodyHash,
+            nonce = operation.nonce,
+            state = state,
+            claimedAtMs = nowMs,
+            dueAtMs = nowMs,
+            expiresAtMs = nowMs + limits.retentionMs
+        )
+
+    private fun put(claim: Claim): Boolean {
+        val replacedBytes = claims[claim.key]?.sizeBytes ?: 0
+        val fits = sizeBytes - replacedBytes + claim.sizeBytes <= limits.maxBucketBytes
+        if (fits) replace(claim)
+        return fits
+    }
+
+    private fun replace(claim: Claim) {
+        sizeBytes += claim.sizeBytes - (claims.put(claim.key, claim)?.sizeBytes ?: 0)
+        isChanged = true
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/Claim.kt
@@ -0,0 +1,43 @@
+package org.jacinthlink.decision.claims
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.jacinthlink.api.ProtocolJson
+
+/**
+ * Claim on the execution of the call with [key].
+ *
+ * The serial names are short because all claims of a bucket share one value of the key-value
+ * service.
+ *
+ * @property nonce Unique to the attempt that made the claim. Only that attempt executes.
+ * @property dueAtMs End of the time allowed to the execution; a claim without a result after it
+ *   belongs to a claimer that failed.
+ * @property expiresAtMs Time from which the claim may be dropped.
+ * @property result Recorded result of a done claim; null if it was too large or was lost.
+ */
+@Serializable
+data class Claim(
+    @SerialName("k") val key: String,
+    @SerialName("h") val bodyHash: String,
+    @SerialName("n") val nonce: String,
+    @SerialName("s") val state: ClaimState,
+    @SerialName("c") val claimedAtMs: Long,
+    @SerialName("d") val dueAtMs: Long,
+    @SerialName("x") val expiresAtMs: Long,
+    @SerialName("r") val result: RecordedResult? = null
+) {
+    /** JSON of this claim. A bucket is written often and each write changes few of its claims. */
+    internal val json: String by lazy { ProtocolJson.encodeToString(serializer(), this) }
+
+    /** Bytes of the bucket used by this claim, with a reserve that lets a claim become done. */
+    internal val sizeBytes: Int by lazy {
+        json.encodeToByteArray().size + SEPARATOR_BYTES +
+            if (state == ClaimState.CLAIMED) COMPLETION_RESERVE_BYTES else 0
+    }
+
+    private companion object {
+        const val SEPARATOR_BYTES = 1
+        const val COMPLETION_RESERVE_BYTES = 32
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimBucket.kt
@@ -0,0 +1,41 @@
+package org.jacinthlink.decision.claims
+
+/** Claims that share one value of the key-value service, by key. */
+class ClaimBucket private constructor(val claims: Map<String, Claim>, val sizeBytes: Int) {
+    override fun equals(other: Any?) = other is ClaimBucket && other.claims == claims
+
+    override fun hashCode() = claims.hashCode()
+
+    override fun toString() = "ClaimBucket($claims)"
+
+    companion object {
+        /** Creates a bucket with [claims]. */
+        fun of(claims: Collection<Claim> = emptyList()): ClaimBucket =
+            of(claims.associateBy { it.key })
+
+        internal fun of(claims: Map<String, Claim>) =
+            ClaimBucket(claims, claims.values.sumOf { it.sizeBytes })
+    }
+}
+
+/** Applies [operations] in order to [bucket], after dropping its expired claims. */
+fun applyOperations(
+    bucket: ClaimBucket,
+    operations: List<ClaimOperation>,
+    nowMs: Long,
+    limits: ClaimLimits = ClaimLimits()
+): BucketChange {
+    val edit = BucketEdit(prune(bucket, nowMs, limits), nowMs, limits)
+    val decisions = operations.map(edit::apply)
+    return if (edit.isChanged) {
+        BucketChange(ClaimBucket.of(edit.claims.toMap()), decisions, isChanged = true)
+    } else {
+        BucketChange(bucket, decisions, isChanged = false)
+    }
+}
+
+/** Drops the claims that expired at least the clock skew ago. */
+fun prune(bucket: ClaimBucket, nowMs: Long, limits: ClaimLimits = ClaimLimits()): ClaimBucket {
+    val kept = bucket.claims.filterValues { nowMs < it.expiresAtMs + limits.clockSkewMs }
+    return if (kept.size == bucket.claims.size) bucket else ClaimBucket.of(kept)
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimState.kt
@@ -0,0 +1,20 @@
+package org.jacinthlink.decision.claims
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** State of a [Claim]. Done and cancelled are final. */
+@Serializable
+enum class ClaimState {
+    /** The claimer may execute the call, may have executed it, or may be dead. */
+    @SerialName("claimed")
+    CLAIMED,
+
+    /** The call was executed; its result is recorded unless it was too large or lost. */
+    @SerialName("done")
+    DONE,
+
+    /** The call was not executed and never will be. */
+    @SerialName("cancelled")
+    CANCELLED
+}
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimScheduleSpec.kt
@@ -0,0 +1,42 @@
+package org.jacinthlink.decision.claims
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import kotlin.random.Random
+
+private const val SCHEDULES = 30_000
+private const val STEPS = 150
+
+/**
+ * Guards against a second execution of a key, and against an execution after a refusal, in random
+ * interleavings of three sidecars that crash, pause, prune and lose the answers of their writes.
+ */
+class ClaimScheduleSpec :
+    DescribeSpec({
+        describe("random schedules") {
+            it("execute each key at most once and never after a refusal or cancellation") {
+                val firstSeed = System.getProperty("claims.seed")?.toLong() ?: 1L
+                println("claim schedules: seeds $firstSeed to ${firstSeed + SCHEDULES - 1}")
+                val seen = mutableMapOf<String, Int>()
+                repeat(SCHEDULES) { index ->
+                    val seed = firstSeed + index
+                    val world = ClaimWorld(Random(seed))
+                    world.run(STEPS)
+                    world.attempts.map { it.key }.distinct().forEach(world::checkCancelled)
+                    withClue("seed=$seed") { world.faults.shouldBeEmpty() }
+                    world.seen.forEach { (event, count) -> seen.merge(event, count, Int::plus) }
+                }
+                println("claim schedules: $seen")
+                listOf(
+                    "executed",
+                    "replayed",
+                    "cancelled",
+                    "pruned",
+                    "crash",
+                    "late write took effect"
+                ).forEach { withClue(it) { seen.getOrDefault(it, 0) shouldBeGreaterThan 1_000 } }
+            }
+        }
+    })
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimWorld.kt
@@ -0,0 +1,204 @@
+package org.jacinthlink.decision.claims
+
+import kotlin.random.Random
+import org.jacinthlink.api.SwapResult
+import org.jacinthlink.api.VersionedValue
+
+internal val worldLimits = ClaimLimits(retentionMs = 1_000, clockSkewMs = 50)
+private const val CALL_WINDOW_MS = 300L
+private const val ATTEMPT_LIFE_MS = 100L
+
+internal enum class Fate { PENDING, OWNED, EXECUTED, REFUSED, UNKNOWN, REPLAYED, CANCELLED }
+
+internal class Attempt(val operation: ClaimOperation, val deadlineMs: Long) {
+    val key = operation.key
+    var fate = Fate.PENDING
+}
+
+private class SidecarModel(val skewMs: Long) {
+    var cached: VersionedBucket? = null
+    val waiting = mutableListOf<Attempt>()
+    var batch: List<Attempt> = emptyList()
+    var swap: CommitPlan.Swap? = null
+
+    /** Operations after the fate of an attempt: results to record, claims to cancel or release. */
+    fun followUp(operation: ClaimOperation) {
+        waiting += Attempt(operation, Long.MAX_VALUE)
+    }
+}
+
+/** Sidecars, a key-value service and callers, of which a seeded scheduler picks each next step. */
+internal class ClaimWorld(private val random: Random) {
+    private var nowMs = 0L
+    private var stored: VersionedValue? = null
+    private val delayed = mutableListOf<Pair<Long, String>>()
+    private val sidecars = List(3) { newSidecar() }.toMutableList()
+    private val firstCallMs = mutableMapOf<String, Long>()
+    private var nonces = 0
+    val attempts = mutableListOf<Attempt>()
+    val executions = mutableMapOf<String, Int>()
+    val seen = mutableMapOf<String, Int>()
+    val faults = mutableListOf<String>()
+
+    fun run(steps: Int) = repeat(steps) { step() }
+
+    private fun step() {
+        val index = random.nextInt(sidecars.size)
+        val sidecar = sidecars[index]
+        when (random.nextInt(1_000)) {
+            in 0..169 -> arrive(sidecar)
+            in 170..649 -> if (sidecar.swap == null) plan(sidecar) else swap(sidecar)
+            in 650..829 -> sidecars.forEach(::finishOwned)
+            in 830..844 -> sidecars[index] = newSidecar().also { note("crash") }
+            in 845..894 -> landDelayedWrite()
+            in 895..909 -> sidecar.waiting.randomOrNull(random)?.let(::giveUp)
+            in 910..994 -> nowMs += random.nextLong(30)
+            else -> nowMs += random.nextLong(1_500)
+        }
+    }
+
+    private fun newSidecar() = SidecarModel(random.nextLong(-25, 26))
+
+    private fun arrive(sidecar: SidecarModel) {
+        // Callers repeat a key for a while and then go on to the next one.
+        val slot = random.nextInt(2)
+        val key = (0..100).map { "key$slot-$it" }.first {
+            nowMs <= firstCallMs.getOrPut(it) { nowMs } + CALL_WINDOW_MS
+        }
+        val nonce = "n${nonces++}"
+        val operation =
+            if (random.nextInt(10) == 0) {
+                ClaimOperation.Cancel(key, "hash", nonce)
+            } else {
+                ClaimOperation.Begin(key, "hash", nonce, nowMs + ATTEMPT_LIFE_MS)
+            }
+        val attempt = Attempt(operation, nowMs + ATTEMPT_LIFE_MS)
+        attempts += attempt
+        sidecar.waiting += attempt
+    }
+
+    private fun plan(sidecar: SidecarModel) {
+        sidecar.waiting.filter { nowMs > it.deadlineMs }.forEach(::giveUp)
+        sidecar.waiting.removeAll { it.fate != Fate.PENDING }
+        val batch = sidecar.waiting.toList()
+        if (batch.isEmpty()) return
+        val localMs = nowMs + sidecar.skewMs
+        val operations = batch.map { it.operation }
+        when (val plan = planCommit(sidecar.cached, operations, localMs, worldLimits)) {
+            CommitPlan.Read -> sidecar.cached = versionedBucket(stored)
+            is CommitPlan.Answer -> settle(sidecar, batch, plan.decisions)
+            is CommitPlan.Swap -> {
+                sidecar.batch = batch
+                sidecar.swap = plan
+            }
+        }
+    }
+
+    private fun swap(sidecar: SidecarModel) {
+        val swap = sidecar.swap ?: return
+        sidecar.swap = null
+        when (val outcome = afterSwap(swap, send(swap))) {
+            is CommitOutcome.Settled -> {
+                if (swap.bucket.claims.size < (sidecar.cached?.bucket?.claims?.size ?: 0)) {
+                    note("pruned")
+                }
+                sidecar.cached = outcome.cached
+                settle(sidecar, sidecar.batch, outcome.decisions)
+            }
+            is CommitOutcome.Conflicting -> sidecar.cached = outcome.cached
+            is CommitOutcome.NotWritten -> Unit
+            is CommitOutcome.InDoubt -> sidecar.cached = null
+        }
+    }
+
+    private fun send(swap: CommitPlan.Swap): SwapResult {
+        val value = encodeBucket(swap.bucket)
+        return when (random.nextInt(10)) {
+            0 -> SwapResult.NotSent("down")
+            1 -> SwapResult.Unknown("not applied")
+            2 -> SwapResult.Unknown("applied").also { store(swap.expectedVersion, value) }
+            3, 4 -> SwapResult.Unknown("later").also { delayed += swap.expectedVersion to value }
+            else -> store(swap.expectedVersion, value)
+        }
+    }
+
+    private fun store(expectedVersion: Long, value: String): SwapResult {
+        val version = stored?.version ?: 0
+        if (version != expectedVersion) return SwapResult.Conflict(stored)
+        stored = VersionedValue(value, version + 1)
+        return SwapResult.Swapped(version + 1)
+    }
+
+    private fun landDelayedWrite() {
+        if (delayed.isEmpty()) return
+        val (version, value) = delayed.removeAt(random.nextInt(delayed.size))
+        if (store(version, value) is SwapResult.Swapped) note("late write took effect")
+    }
+
+    private fun settle(
+        sidecar: SidecarModel,
+        batch: List<Attempt>,
+        decisions: List<ClaimDecision>
+    ) {
+        batch.zip(decisions).forEach { (attempt, decision) ->
+            if (attempt.fate == Fate.PENDING) {
+                attempt.fate = fateOf(decision)
+            } else if (decision == ClaimDecision.Owned) {
+                sidecar.followUp(ClaimOperation.Release(attempt.key, attempt.operation.nonce))
+            }
+        }
+        sidecar.waiting.removeAll(batch.filter { it.fate != Fate.OWNED })
+    }
+
+    private fun fateOf(decision: ClaimDecision): Fate =
+        when (decision) {
+            ClaimDecision.Owned -> Fate.OWNED
+            ClaimDecision.Cancelled -> Fate.CANCELLED.also { note("cancelled") }
+            is ClaimDecision.Done -> Fate.REPLAYED.also { note("replayed") }
+            is ClaimDecision.Held -> Fate.UNKNOWN
+            else -> Fate.REFUSED
+        }
+
+    private fun giveUp(attempt: Attempt) {
+        if (attempt.fate != Fate.PENDING || attempt.deadlineMs == Long.MAX_VALUE) return
+        val isCall = attempt.operation is ClaimOperation.Begin
+        attempt.fate = if (isCall) Fate.REFUSED else Fate.UNKNOWN
+    }
+
+    private fun finishOwned(sidecar: SidecarModel) {
+        val attempt = sidecar.waiting.firstOrNull { it.fate == Fate.OWNED } ?: return
+        sidecar.waiting.remove(attempt)
+        val nonce = attempt.operation.nonce
+        when {
+            nowMs > attempt.deadlineMs -> {
+                attempt.fate = Fate.REFUSED
+                sidecar.followUp(ClaimOperation.Cancel(attempt.key, "hash", nonce))
+            }
+            random.nextInt(5) == 0 -> {
+                attempt.fate = Fate.REFUSED
+                sidecar.followUp(ClaimOperation.Release(attempt.key, nonce))
+            }
+            else -> {
+                execute(attempt)
+                val result = RecordedResult(200, emptyMap(), "ok")
+                sidecar.followUp(ClaimOperation.Complete(attempt.key, "hash", nonce, result))
+            }
+        }
+    }
+
+    private fun execute(attempt: Attempt) {
+        note("executed")
+        if (attempt.fate == Fate.REFUSED) faults += "an attempt ran after its refusal"
+        attempt.fate = Fate.EXECUTED
+        if (executions.merge(attempt.key, 1, Int::plus)!! > 1) faults += "${attempt.key} ran twice"
+        checkCancelled(attempt.key)
+    }
+
+    /** A cancelled key must not run, neither before the cancellation nor after it. */
+    fun checkCancelled(key: String) {
+        val cancelled = attempts.any { it.key == key && it.fate == Fate.CANCELLED }
+        if (cancelled && (executions[key] ?: 0) > 0) faults += "$key is cancelled and ran"
+    }
+
+    private fun note(event: String) = seen.merge(event, 1, Int::plus)
+}
