--- a/cli/src/main/kotlin/org/jacinthlink/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/Main.kt
@@ -1,3 +1,5 @@
 package org.jacinthlink.cli
 
-fun main(args: Array<String>) = runCommandLine(listOf<Command>(), args)
+import org.jacinthlink.cli.measure.MeasureCommand
+
+fun main(args: Array<String>) = runCommandLine(listOf(MeasureCommand(), VersionCommand()), args)
