--- /dev/null
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipSpec.kt
@@ -0,0 +1,99 @@
+package org.jacinthlink.runtime.membership
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.jacinthlink.runtime.daemon.DaemonShell
+import org.jacinthlink.runtime.daemon.MemoryInstanceList
+import org.jacinthlink.runtime.daemon.TestFleet
+import org.jacinthlink.runtime.daemon.TestLogic
+import org.jacinthlink.runtime.daemon.waitUntil
+
+private fun DaemonShell.knows(other: DaemonShell) =
+    membership.instances().any { it.description.instance == other.instance }
+
+private val downList = MemoryInstanceList().apply { down = true }
+
+class MembershipSpec :
+    DescribeSpec({
+        describe("two listed processes") {
+            it("know each other within a list interval, and neither itself") {
+                TestFleet().use { fleet ->
+                    val (a, b) = fleet.startListed("node", 2)
+                    waitUntil(6_000, "mutual knowledge") { a.knows(b) && b.knows(a) }
+                    a.knows(a) shouldBe false
+                }
+            }
+            it("notice a stopped one by themselves, although the list still shows it") {
+                TestFleet().use { fleet ->
+                    val (a, b) = fleet.startListed("node", 2)
+                    waitUntil(6_000, "knowledge") { a.knows(b) }
+                    b.stop()
+                    waitUntil(6_000, "exclusion") { !a.knows(b) }
+                }
+            }
+            it("find a process again that was only reported unreachable") {
+                TestFleet().use { fleet ->
+                    val (a, b) = fleet.startListed("node", 2)
+                    waitUntil(6_000, "knowledge") { a.knows(b) }
+                    a.membership.reportUnreachable(b.instance)
+                    a.knows(b) shouldBe false
+                    waitUntil(3_000, "return") { a.knows(b) }
+                }
+            }
+        }
+
+        describe("a process that drains") {
+            it("is excluded within the bound of 5 s although the list never says so") {
+                TestFleet().use { fleet ->
+                    val logic = TestLogic().apply { openWork.set(1) }
+                    val b = fleet.start("leaving", logic)
+                    val others = fleet.startListed("node", 3)
+                    fleet.list(b)
+                    waitUntil(6_000, "knowledge") { others.all { it.knows(b) } }
+                    b.drain()
+                    val tookMs = waitUntil(5_000, "exclusion") { others.none { it.knows(b) } }
+                    println("drain_known_ms=$tookMs")
+                    tookMs shouldBeLessThan 1_000
+                }
+            }
+        }
+
+        describe("an outage of the instance list") {
+            it("leaves the last list in use, also if the list comes back empty") {
+                TestFleet().use { fleet ->
+                    val (a, b) = fleet.startListed("node", 2)
+                    waitUntil(6_000, "knowledge") { a.knows(b) }
+                    fleet.instanceList.down = true
+                    Thread.sleep(3_000)
+                    a.knows(b) shouldBe true
+                    fleet.instanceList.entries.clear()
+                    fleet.instanceList.down = false
+                    Thread.sleep(3_000)
+                    a.knows(b) shouldBe true
+                }
+            }
+            it("does not keep a process from starting that has a seed") {
+                TestFleet().use { fleet ->
+                    val (a, b) = fleet.startListed("node", 2)
+                    waitUntil(6_000, "knowledge") { a.knows(b) }
+                    val seeds = listOf(a.address)
+                    val late = fleet.start("late", seeds = seeds, instanceList = downList)
+                    waitUntil(6_000, "list from a peer") { late.knows(a) && late.knows(b) }
+                }
+            }
+            it("lets a process cut off from the list learn of a new instance from peers") {
+                TestFleet().use { fleet ->
+                    val cutList = MemoryInstanceList()
+                    val (a, b) = fleet.startListed("node", 2)
+                    val cut = fleet.start("cut", instanceList = cutList)
+                    listOf(a, b).forEach { cutList.list(it.settings.name, it.address) }
+                    waitUntil(6_000, "knowledge") { cut.knows(a) && cut.knows(b) }
+                    cutList.down = true
+                    val late = fleet.start("late")
+                    fleet.list(late)
+                    waitUntil(12_000, "knowledge of the new one") { cut.knows(late) }
+                }
+            }
+        }
+    })
