--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineExecutions.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineExecutions.kt
@@ -14,7 +14,3 @@
     val executions: List<LayerExecution> = emptyList(),
     val orderViolations: Int = 0
 )
-
-/** How often [layer] ran at [position] of the stream of [attempt]. */
-@Serializable
-data class LayerExecution(val attempt: Int, val layer: Int, val position: Int, val count: Int)
--- a/standins/src/main/kotlin/org/jacinthlink/standins/FaultProxySettings.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/FaultProxySettings.kt
@@ -13,7 +13,3 @@
     val controlPort: Int = 0,
     val listeners: List<ProxyListenerSettings> = emptyList()
 )
-
-/** Listener [name] on [port] that passes connections on to [target], as `127.0.0.1:7101`. */
-@Serializable
-data class ProxyListenerSettings(val name: String, val target: String, val port: Int = 0)
--- a/standins/src/main/kotlin/org/jacinthlink/standins/ProxyFaults.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/ProxyFaults.kt
@@ -20,12 +20,3 @@
     val drop: ProxyDrop? = null,
     val hold: ProxyDirection? = null
 )
-
-/**
- * Loses all bytes of a connection in [direction] after [afterBytes].
- *
- * Bytes are counted on each connection from the time when the fault is set. A connection that lost
- * bytes never carries any in this direction again.
- */
-@Serializable
-data class ProxyDrop(val direction: ProxyDirection, val afterBytes: Long = 0)
--- a/standins/src/main/kotlin/org/jacinthlink/standins/ProxyPipe.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/ProxyPipe.kt
@@ -39,12 +39,11 @@
 
     private fun readAll() {
         val buffer = ByteArray(BUFFER_BYTES)
-        while (true) {
-            val sizeBytes = readOnce(buffer)
-            if (sizeBytes < 0) break
-            if (connection.isSilenced) continue
-            val kept = keptBytes(sizeBytes)
+        var sizeBytes = readOnce(buffer)
+        while (sizeBytes >= 0) {
+            val kept = if (connection.isSilenced) 0 else keptBytes(sizeBytes)
             if (kept > 0) put(Chunk(buffer.copyOf(kept), System.nanoTime()))
+            sizeBytes = readOnce(buffer)
         }
         put(Chunk(ByteArray(0), System.nanoTime()))
     }
