Add the load tool

Experiments need an open loop: a closed one sends less while the system is slow and hides the waiting. runLoad sends at scheduled times, counts late sends as waiting, and tells refusals, failures and unknown outcomes apart by class and workspace.

--- /dev/null
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
@@ -0,0 +1,76 @@
+package org.jacinthlink.cli.load
+
+import java.util.UUID
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+import org.jacinthlink.runtime.http.PeerClient
+import org.jacinthlink.runtime.http.peerClient
+
+/**
+ * Runs [plan] as an open loop: requests are sent at their scheduled times, whether or not earlier
+ * ones were answered. Returns when each request was answered or given up.
+ */
+fun runLoad(plan: LoadPlan): LoadReport {
+    val client = peerClient()
+    try {
+        return LoadRun(plan, client).run()
+    } finally {
+        client.close()
+    }
+}
+
+private class LoadRun(private val plan: LoadPlan, private val client: PeerClient) {
+    private val requests = schedule(plan)
+    private val finished = ConcurrentLinkedQueue<FinishedRequest>()
+    private val unfinished = CountDownLatch(requests.size)
+    private val runId = UUID.randomUUID().toString().take(RUN_ID_CHARS)
+    private val timeouts =
+        Executors.newSingleThreadScheduledExecutor { task ->
+            Thread(task, "load-timeouts").apply { isDaemon = true }
+        }
+    private val startNs = System.nanoTime()
+
+    fun run(): LoadReport {
+        var maxDelayUs = 0L
+        requests.forEachIndexed { index, request ->
+            awaitTime(request.sendAtUs)
+            maxDelayUs = maxOf(maxDelayUs, nowUs() - request.sendAtUs)
+            send(request, plan.entries[index % plan.entries.size])
+        }
+        unfinished.await()
+        timeouts.shutdownNow()
+        return loadReport(plan, finished.toList(), maxDelayUs)
+    }
+
+    private fun send(request: ScheduledRequest, entryUrl: String) {
+        val listener =
+            RequestListener(request, ::nowUs) {
+                finished += it
+                unfinished.countDown()
+            }
+        val timeoutMs = plan.callTimeoutMs
+        val call =
+            client.stream(peerCall(request, entryUrl, runId), timeoutMs, listener)
+        val leftUs = request.sendAtUs + timeoutMs * MICROS_PER_MS - nowUs()
+        timeouts.schedule({ call.cancel() }, leftUs, TimeUnit.MICROSECONDS)
+    }
+
+    private fun awaitTime(timeUs: Long) {
+        var leftUs = timeUs - nowUs()
+        while (leftUs > 0) {
+            LockSupport.parkNanos(leftUs * NANOS_PER_MICRO)
+            leftUs = timeUs - nowUs()
+        }
+    }
+
+    private fun nowUs() = (System.nanoTime() - startNs) / NANOS_PER_MICRO
+
+    private companion object {
+        const val RUN_ID_CHARS = 8
+        const val MICROS_PER_MS = 1_000L
+        const val NANOS_PER_MICRO = 1_000L
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestCall.kt
@@ -0,0 +1,45 @@
+package org.jacinthlink.cli.load
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.jacinthlink.api.Headers
+import org.jacinthlink.runtime.http.PeerCall
+
+/** Words of the prompt of [request]. They differ between requests, so that crossed answers show. */
+internal fun promptWords(request: ScheduledRequest): List<String> =
+    List(request.stream.promptTokens) { index ->
+        if (index == 0) "${request.stream.name}-${request.number}" else "word$index"
+    }
+
+/** The HTTP call of [request] to the entry at [entryUrl]. [runId] keeps runs apart. */
+internal fun peerCall(request: ScheduledRequest, entryUrl: String, runId: String): PeerCall {
+    val stream = request.stream
+    val identity =
+        mapOf(Headers.WORKSPACE to stream.workspace, Headers.WORK_CLASS to stream.workClass)
+    val base = entryUrl.trimEnd('/')
+    if (stream.model != null) {
+        val body = chatBody(request, stream.model).toString()
+        return PeerCall("POST", "$base/v1/chat/completions", body, identity)
+    }
+    val url = "$base/v1/services/${stream.service}/${stream.path.trimStart('/')}"
+    if (stream.method == "GET") return PeerCall("GET", url, null, identity)
+    val reference = "$runId-${stream.name}-${request.number}"
+    val body = buildJsonObject { put("reference", reference) }.toString()
+    return PeerCall(stream.method, url, body, identity + (Headers.IDEMPOTENCY_KEY to reference))
+}
+
+private fun chatBody(request: ScheduledRequest, model: String): JsonObject =
+    buildJsonObject {
+        put("model", model)
+        put("stream", true)
+        put("max_tokens", request.stream.maxTokens)
+        putJsonArray("messages") {
+            addJsonObject {
+                put("role", "user")
+                put("content", promptWords(request).joinToString(" "))
+            }
+        }
+    }
--- /dev/null
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestListener.kt
@@ -0,0 +1,41 @@
+package org.jacinthlink.cli.load
+
+import java.util.concurrent.atomic.AtomicBoolean
+import org.jacinthlink.runtime.http.LineListener
+import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.standins.referenceAnswer
+
+/** Follows one request and passes its result to [onFinished] once. */
+internal class RequestListener(
+    private val request: ScheduledRequest,
+    private val nowUs: () -> Long,
+    private val onFinished: (FinishedRequest) -> Unit
+) : LineListener {
+    private val reader = AnswerReader(request.stream.model != null)
+    private val finished = AtomicBoolean(false)
+
+    override fun onStart(status: Int, headers: Map<String, String>) = reader.started(status)
+
+    override fun onLine(line: String) = reader.line(line, nowUs())
+
+    override fun onEnd() = finish(null)
+
+    override fun onFailure(result: PeerResult) = finish(result)
+
+    private fun finish(failure: PeerResult?) {
+        if (!finished.compareAndSet(false, true)) return
+        val outcome = reader.outcome(failure)
+        val wrong = outcome == RequestOutcome.ANSWERED && isWrong()
+        onFinished(FinishedRequest(request, outcome, nowUs(), reader.tokenTimesUs, wrong))
+    }
+
+    private fun isWrong(): Boolean {
+        val stream = request.stream
+        val model = stream.model ?: return false
+        val layerCount = stream.verifyLayerCount ?: return false
+        // The entry makes tokens of the words of "role: content".
+        val prompt = listOf("user:") + promptWords(request)
+        val expected = referenceAnswer(model, layerCount, prompt, stream.maxTokens)
+        return reader.answer != expected.joinToString("")
+    }
+}
