Split the sampling of heads, which detekt refused

The one-pass sample had two jumps in its loop, so detekt:check failed on module decision. The insertion is a function of its own now; the specs of the module pass unchanged.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/HeadChoice.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/HeadChoice.kt
@@ -47,20 +47,31 @@
         val sampled = ArrayList<HeadCandidate>(SAMPLE_SIZE + 1)
         val keys = ArrayList<Double>(SAMPLE_SIZE + 1)
         for (candidate in candidates) {
-            if (candidate.instance in excluded) continue
-            val key = ln(1.0 - random.nextDouble()) / candidate.tokensPerSecond.coerceAtLeast(1.0)
-            if (keys.size == SAMPLE_SIZE && key <= keys.last()) continue
-            val position = keys.indexOfFirst { it < key }.let { if (it < 0) keys.size else it }
-            keys.add(position, key)
-            sampled.add(position, candidate)
-            if (keys.size > SAMPLE_SIZE) {
-                keys.removeAt(SAMPLE_SIZE)
-                sampled.removeAt(SAMPLE_SIZE)
+            if (candidate.instance !in excluded) {
+                val weight = candidate.tokensPerSecond.coerceAtLeast(1.0)
+                insert(candidate, ln(1.0 - random.nextDouble()) / weight, sampled, keys)
             }
         }
         return sampled
     }
 
+    /** Keeps [sampled] and its [keys] in falling order of the keys, with the largest ones only. */
+    private fun insert(
+        candidate: HeadCandidate,
+        key: Double,
+        sampled: MutableList<HeadCandidate>,
+        keys: MutableList<Double>
+    ) {
+        if (keys.size == SAMPLE_SIZE && key <= keys.last()) return
+        val position = keys.indexOfFirst { it < key }.let { if (it < 0) keys.size else it }
+        keys.add(position, key)
+        sampled.add(position, candidate)
+        if (keys.size > SAMPLE_SIZE) {
+            keys.removeAt(SAMPLE_SIZE)
+            sampled.removeAt(SAMPLE_SIZE)
+        }
+    }
+
     private companion object {
         const val SAMPLE_SIZE = 3
         const val REPORT_LIFETIME_MS = 2_000L
