Allow an HTTP response that is decided later

A handler had to hold its worker thread until the status of its response was known, so requests whose outcome takes seconds would use up the workers. DeferredBody stands for a response that any thread sends later, once.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -7,6 +7,7 @@
 import io.undertow.util.HttpString
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -65,10 +66,25 @@
         }
         when (val body = response.body) {
             is PushBody -> body.onStart(UndertowPushSink(exchange))
+            is DeferredBody -> body.onStart(sendOnce(exchange))
             else -> exchange.responseSender.send(body.payload.duplicate())
         }
     }
 
+    private fun sendOnce(exchange: HttpServerExchange): (Response) -> Unit {
+        val sent = AtomicBoolean()
+        return { later ->
+            if (sent.compareAndSet(false, true)) {
+                try {
+                    send(exchange, later)
+                } catch (e: Exception) {
+                    logger.warn(e) { "event=response_failed" }
+                    exchange.endExchange()
+                }
+            }
+        }
+    }
+
     private fun respond(exchange: HttpServerExchange, body: ByteArray): Response =
         if (openExchanges.get() > limits.maxConnections) {
             errorResponse(ResultCode.OVERLOADED, "too many open requests")
