--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -0,0 +1,36 @@
+package org.jacinthlink.entry
+
+import io.micrometer.core.instrument.MeterRegistry
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.runtime.Clock
+import org.jacinthlink.runtime.configuration.ConfigurationEditor
+import org.jacinthlink.runtime.configuration.ConfigurationView
+import org.jacinthlink.runtime.events.EventLog
+import org.jacinthlink.runtime.http.PeerClient
+import org.jacinthlink.runtime.membership.Membership
+import org.jacinthlink.runtime.supervision.Scope
+
+/** What the parts of an entry work with. */
+internal class EntryContext(
+    val instance: InstanceId,
+    val settings: EntrySettings,
+    val clock: Clock,
+    val scope: Scope,
+    val eventLog: EventLog,
+    meters: MeterRegistry,
+    val peerClient: PeerClient,
+    val membership: Membership,
+    val configuration: ConfigurationView,
+    val configurationEditor: ConfigurationEditor,
+    val isDraining: () -> Boolean
+) {
+    val limits: EntryLimits get() = settings.limits
+    val availabilityZone: String get() = settings.daemon.availabilityZone
+    val metrics = EntryMetrics(meters)
+
+    /** For short calls beside requests, as probes. */
+    val background = boundedExecutor(scope, "background", threads = 16, queued = 512)
+
+    /** For calls to heads that may be dead, which must not hold up the probes. */
+    val cancels = boundedExecutor(scope, "cancels", threads = 8, queued = 256)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
@@ -0,0 +1,24 @@
+package org.jacinthlink.entry
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Limits of an entry.
+ *
+ * @property defaultMaxTokens Tokens generated for a request that states no maximum.
+ * @property claimBuckets Buckets of claims of each service, as in the settings of the sidecars. A
+ *   wrong number costs conflicts between sidecars, but no correctness.
+ * @property callThreads Plain calls in execution at the same time.
+ * @property maxQueuedCalls Plain calls that wait for a thread; further ones are refused.
+ */
+@Serializable
+data class EntryLimits(
+    val maxBodyBytes: Long = 1_048_576,
+    val maxOpenRequests: Int = 2_000,
+    val maxPromptTokens: Int = 32_768,
+    val maxTokens: Int = 4_096,
+    val defaultMaxTokens: Int = 256,
+    val claimBuckets: Int = 16,
+    val callThreads: Int = 64,
+    val maxQueuedCalls: Int = 256
+)
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryMetrics.kt
@@ -0,0 +1,39 @@
+package org.jacinthlink.entry
+
+import io.micrometer.core.instrument.MeterRegistry
+import java.util.concurrent.TimeUnit
+import org.jacinthlink.api.ResultCode
+
+/** Counters and timers of an entry. Classes are tagged by name only once they are known. */
+internal class EntryMetrics(private val meters: MeterRegistry) {
+    private val retries = meters.counter("jacinthlink.retries")
+    private val attempts = meters.summary("jacinthlink.attempts")
+
+    /** Counts a request that ended; [code] is null on success. */
+    fun ended(workClass: String?, code: ResultCode?, attemptCount: Int) =
+        count(workClass, code?.number?.toString() ?: "0", attemptCount)
+
+    /** Counts a request whose caller went away. */
+    fun callerGone(workClass: String, attemptCount: Int) =
+        count(workClass, "caller_gone", attemptCount)
+
+    fun retried() = retries.increment()
+
+    fun firstToken(workClass: String, elapsedMs: Long) =
+        meters.timer("jacinthlink.first.token", "class", workClass)
+            .record(elapsedMs, TimeUnit.MILLISECONDS)
+
+    fun tokenGap(workClass: String, gapMs: Long) =
+        meters.timer("jacinthlink.token.gap", "class", workClass)
+            .record(gapMs, TimeUnit.MILLISECONDS)
+
+    fun callAnswered(workClass: String, elapsedMs: Long) =
+        meters.timer("jacinthlink.call", "class", workClass)
+            .record(elapsedMs, TimeUnit.MILLISECONDS)
+
+    private fun count(workClass: String?, code: String, attemptCount: Int) {
+        val tags = arrayOf("class", workClass ?: "unknown", "code", code)
+        meters.counter("jacinthlink.requests", *tags).increment()
+        attempts.record(attemptCount.toDouble())
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -0,0 +1,212 @@
+package org.jacinthlink.entry.calls
+
+import org.jacinthlink.api.CallAnswer
+import org.jacinthlink.api.CallCancel
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.decision.dispatch.AttemptFate
+import org.jacinthlink.decision.dispatch.DispatchOutcome
+import org.jacinthlink.decision.dispatch.dispatchOutcome
+import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.entry.RetryAccount
+
+/**
+ * Dispatches one plain call, with the thread of its caller.
+ *
+ * A keyed call is repeated with its key after an unknown outcome, because claims keep it from
+ * running twice. A call without a key is one that may be repeated.
+ */
+internal class CallDispatcher(
+    private val job: CallJob,
+    private val context: EntryContext,
+    private val directory: ServiceDirectory,
+    private val retries: RetryAccount
+) {
+    private val transport = CallTransport(context)
+    private val fates = ArrayList<AttemptFate>()
+    private val excluded = HashSet<InstanceId>()
+    private var lastRefusal: CallAnswer.Refused? = null
+    private var lastCause = "no sidecar of service ${job.call.service} can be reached"
+
+    /** Attempts so far. */
+    val attemptCount: Int get() = fates.size
+
+    fun run(): CallEnd {
+        while (mayAttempt()) {
+            val sidecar = nextSidecar() ?: return conclude()
+            attempt(sidecar)?.let { return it }
+        }
+        return conclude()
+    }
+
+    private fun mayAttempt(): Boolean {
+        if (remainingMs() <= 0 || fates.size >= MAX_ATTEMPTS) return false
+        if (fates.isEmpty()) return true
+        val isCharged =
+            fates.last() != AttemptFate.NOT_RUN || lastRefusal?.code == ResultCode.OVERLOADED
+        if (isCharged && !retries.withdraw(context.clock.nowMs())) return false
+        context.metrics.retried()
+        return true
+    }
+
+    /** One message to [sidecar]; returns the end of the call if there is one. */
+    private fun attempt(sidecar: InstanceDescription): CallEnd? {
+        val remainingMs = remainingMs()
+        record("sidecar_chosen", "sidecar" to sidecar.instance.value, "attempt" to fates.size)
+        directory.loads.sent(sidecar.instance)
+        val reply =
+            try {
+                transport.call(
+                    sidecar,
+                    job.call.copy(remainingMs = remainingMs),
+                    minOf(remainingMs, maxOf(MIN_ATTEMPT_MS, remainingMs / 2)),
+                    fresh = fates.isNotEmpty()
+                )
+            } finally {
+                directory.loads.finished(sidecar.instance)
+            }
+        return when (reply) {
+            is CallReply.Answer -> answered(sidecar, reply.answer)
+            is CallReply.None -> {
+                failed(sidecar, reply.fate, reply.cause)
+                null
+            }
+        }
+    }
+
+    private fun answered(sidecar: InstanceDescription, answer: CallAnswer): CallEnd? =
+        when (answer) {
+            is CallAnswer.Executed -> CallEnd.Answered(answer)
+            is CallAnswer.Refused -> refused(sidecar, answer)
+            is CallAnswer.Unknown -> {
+                failed(sidecar, AttemptFate.UNKNOWN, answer.message)
+                if (job.key == null) null else unknown(answer.message)
+            }
+            is CallAnswer.InProgress -> inProgress(sidecar)
+        }
+
+    private fun refused(sidecar: InstanceDescription, answer: CallAnswer.Refused): CallEnd? {
+        lastRefusal = answer
+        if (answer.code == ResultCode.DRAINING) {
+            context.membership.reportDraining(sidecar.instance)
+        }
+        failed(sidecar, AttemptFate.NOT_RUN, "${answer.code}: ${answer.message}")
+        return when (answer.code) {
+            // The claim of the key excludes an earlier and a later run of this call.
+            in CONCLUSIVE ->
+                CallEnd.Failed(answer.code, answer.message, true, answer.retryAfterMs)
+            in RETRYABLE -> null
+            else -> conclude()
+        }
+    }
+
+    // Only an own earlier attempt is worth waiting for; another caller with the key has its own.
+    private fun inProgress(sidecar: InstanceDescription): CallEnd? {
+        if (AttemptFate.UNKNOWN !in fates) {
+            return CallEnd.Failed(
+                ResultCode.IN_PROGRESS,
+                "a call with the same idempotency key is in execution",
+                false,
+                IN_PROGRESS_POLL_MS
+            )
+        }
+        lastCause = "the call is in execution at ${sidecar.instance.value}"
+        while (remainingMs() > 0) {
+            Thread.sleep(IN_PROGRESS_POLL_MS)
+            val call = job.call.copy(remainingMs = remainingMs().coerceAtLeast(1))
+            val answer = transport.call(sidecar, call, MIN_ATTEMPT_MS, fresh = true)
+            if (answer !is CallReply.Answer) return null
+            if (answer.answer !is CallAnswer.InProgress) return answered(sidecar, answer.answer)
+        }
+        return null
+    }
+
+    private fun failed(sidecar: InstanceDescription, fate: AttemptFate, cause: String) {
+        fates += fate
+        excluded += sidecar.instance
+        lastCause = cause
+        record(
+            "dispatch_failed",
+            "sidecar" to sidecar.instance.value,
+            "fate" to fate,
+            "cause" to cause
+        )
+    }
+
+    // Once each sidecar has failed, a fresh connection to one of them may still work.
+    private fun nextSidecar(): InstanceDescription? {
+        val ranked = directory.ranked(job)
+        ranked.firstOrNull { it.instance !in excluded }?.let { return it }
+        if (AttemptFate.UNKNOWN !in fates) return null
+        excluded.clear()
+        return ranked.firstOrNull()
+    }
+
+    private fun conclude(): CallEnd {
+        if (dispatchOutcome(fates, cancelled = false) == DispatchOutcome.NOT_RUN) return notRun()
+        job.key?.let { return cancel(it) }
+        val code =
+            if (remainingMs() > 0) ResultCode.OUTCOME_UNKNOWN else ResultCode.DEADLINE_EXCEEDED
+        return CallEnd.Failed(code, lastCause, notRun = false)
+    }
+
+    private fun notRun(): CallEnd {
+        val refusal = lastRefusal
+        return when {
+            refusal != null && refusal.code.notRun ->
+                CallEnd.Failed(refusal.code, refusal.message, true, refusal.retryAfterMs)
+            remainingMs() <= 0 -> CallEnd.Failed(ResultCode.DEADLINE_UNREACHABLE, lastCause, true)
+            else -> CallEnd.Failed(ResultCode.NO_BACKEND_SERVER, lastCause, true, RETRY_AFTER_MS)
+        }
+    }
+
+    /** Asks that a call of unknown outcome never run, so that the caller can be told so. */
+    private fun cancel(key: String): CallEnd {
+        val call = job.call
+        val cancel = CallCancel(job.requestId, call.workspace, call.service, key, call.bodyHash)
+        return directory.ranked(job).take(MAX_CANCELS).firstNotNullOfOrNull {
+            cancelAt(it, cancel)
+        } ?: unknown(lastCause)
+    }
+
+    private fun cancelAt(sidecar: InstanceDescription, cancel: CallCancel): CallEnd? {
+        val reply = transport.cancel(sidecar, cancel, CANCEL_TIMEOUT_MS)
+        record("cancel_asked", "sidecar" to sidecar.instance.value, "reply" to reply)
+        return when (val answer = (reply as? CallReply.Answer)?.answer) {
+            null -> null
+            is CallAnswer.Executed -> CallEnd.Answered(answer)
+            is CallAnswer.Unknown -> unknown(answer.message)
+            is CallAnswer.InProgress -> unknown("the call is in execution")
+            is CallAnswer.Refused -> if (answer.code in CONCLUSIVE) cancelled(answer) else null
+        }
+    }
+
+    private fun cancelled(answer: CallAnswer.Refused): CallEnd =
+        when (dispatchOutcome(fates, cancelled = true)) {
+            DispatchOutcome.NOT_RUN -> CallEnd.Failed(answer.code, answer.message, true)
+            else -> unknown(lastCause)
+        }
+
+    private fun unknown(message: String) =
+        CallEnd.Failed(ResultCode.OUTCOME_UNKNOWN, message, notRun = false)
+
+    private fun remainingMs() = job.deadlineAtMs - context.clock.nowMs()
+
+    private fun record(name: String, vararg fields: Pair<String, Any?>) =
+        context.eventLog.record(name, job.requestId, *fields)
+
+    private companion object {
+        const val MAX_ATTEMPTS = 6
+        const val MAX_CANCELS = 3
+        const val MIN_ATTEMPT_MS = 1_000L
+        const val CANCEL_TIMEOUT_MS = 1_000L
+        const val IN_PROGRESS_POLL_MS = 200L
+        const val RETRY_AFTER_MS = 1_000L
+
+        val CONCLUSIVE =
+            setOf(ResultCode.CANCELLED_BEFORE_RUN, ResultCode.IDEMPOTENCY_KEY_REUSED)
+        val RETRYABLE =
+            setOf(ResultCode.DRAINING, ResultCode.NO_BACKEND_SERVER, ResultCode.OVERLOADED)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallTransport.kt
@@ -0,0 +1,76 @@
+package org.jacinthlink.entry.calls
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.jacinthlink.api.CallAnswer
+import org.jacinthlink.api.CallCancel
+import org.jacinthlink.api.CallRequest
+import org.jacinthlink.api.ErrorBody
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.decision.dispatch.AttemptFate
+import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.runtime.http.PeerCall
+import org.jacinthlink.runtime.http.PeerResult
+
+/** Result of one message to a sidecar. */
+internal sealed interface CallReply {
+    /** The sidecar answered. */
+    data class Answer(val answer: CallAnswer) : CallReply
+
+    /** No usable answer came. */
+    data class None(val fate: AttemptFate, val cause: String) : CallReply
+}
+
+/** Sends plain calls and cancellations to sidecars. */
+internal class CallTransport(private val context: EntryContext) {
+    fun call(to: InstanceDescription, call: CallRequest, timeoutMs: Long, fresh: Boolean) =
+        send(to, "/v1/calls", CallRequest.serializer(), call, timeoutMs, fresh)
+
+    fun cancel(to: InstanceDescription, cancel: CallCancel, timeoutMs: Long) =
+        send(to, "/v1/calls/cancel", CallCancel.serializer(), cancel, timeoutMs, fresh = true)
+
+    private fun <T> send(
+        to: InstanceDescription,
+        path: String,
+        serializer: KSerializer<T>,
+        message: T,
+        timeoutMs: Long,
+        fresh: Boolean
+    ): CallReply {
+        val body = ProtocolJson.encodeToString(serializer, message)
+        val call = PeerCall("POST", "http://${to.address}$path", body)
+        return when (val result = context.peerClient.call(call, timeoutMs, fresh)) {
+            is PeerResult.Answered -> read(result)
+            is PeerResult.Unknown -> CallReply.None(AttemptFate.UNKNOWN, result.message)
+            is PeerResult.NotSent -> {
+                context.membership.reportUnreachable(to.instance)
+                CallReply.None(AttemptFate.NOT_RUN, result.message)
+            }
+        }
+    }
+
+    private fun read(result: PeerResult.Answered): CallReply =
+        try {
+            if (result.isSuccess) {
+                CallReply.Answer(
+                    ProtocolJson.decodeFromString(CallAnswer.serializer(), result.body)
+                )
+            } else {
+                readError(result.body)
+            }
+        } catch (e: SerializationException) {
+            CallReply.None(AttemptFate.UNKNOWN, "unreadable answer with status ${result.status}")
+        }
+
+    private fun readError(body: String): CallReply {
+        val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), body).error
+        val code = ResultCode.entries.firstOrNull { it.number == error.code }
+        return if (error.notRun && code != null && code.notRun) {
+            CallReply.Answer(CallAnswer.Refused(code, error.message))
+        } else {
+            CallReply.None(AttemptFate.UNKNOWN, "${error.name}: ${error.message}")
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
@@ -0,0 +1,63 @@
+package org.jacinthlink.entry.calls
+
+import java.util.concurrent.ConcurrentHashMap
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.decision.claims.claimBucketOf
+import org.jacinthlink.decision.claims.claimKey
+import org.jacinthlink.decision.routing.RendezvousHash
+import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.entry.heads.LoadTable
+
+/** Sidecars of plain services. */
+internal class ServiceDirectory(private val context: EntryContext) {
+    private val idempotentMethods = ConcurrentHashMap<String, Set<String>>()
+
+    val loads = LoadTable()
+
+    /** Methods of [service] that may be repeated; null if no instance ever offered it. */
+    fun idempotentMethods(service: String): Set<String>? {
+        val offered =
+            sidecars(service).mapNotNull { (it.holding as? Holding.Service)?.idempotentMethods }
+        if (offered.isNotEmpty()) {
+            idempotentMethods[service] = offered.reduce { a, b -> a intersect b }
+        }
+        return idempotentMethods[service]
+    }
+
+    /** True once any sidecar is known, so that an unknown service is not due to a late start. */
+    fun isFilled(): Boolean = context.membership.instances().any { it.description.holding != null }
+
+    /**
+     * Sidecars for [job] in the order of preference: by rendezvous hash of its claim bucket for a
+     * keyed call, so that sidecars rarely write the same bucket; by least load for others.
+     */
+    fun ranked(job: CallJob): List<InstanceDescription> {
+        val sidecars = sidecars(job.call.service).filter { it.ready }
+        val key = job.key ?: return byLoad(sidecars)
+        val byInstance = sidecars.associateBy { it.instance }
+        val bucket =
+            claimBucketOf(claimKey(job.call.workspace, key), context.limits.claimBuckets)
+        return RendezvousHash.rank("${job.call.service}/$bucket", byInstance.keys)
+            .map(byInstance::getValue)
+    }
+
+    private fun byLoad(sidecars: List<InstanceDescription>): List<InstanceDescription> {
+        loads.refresh(context.membership.instances())
+        return sidecars.shuffled().sortedWith(
+            compareBy(
+                {
+                    val load = loads[it.instance]
+                    val report = load.report
+                    load.inFlight + (report?.queuedRequests ?: 0) + (report?.runningStreams ?: 0)
+                },
+                { it.availabilityZone != context.availabilityZone }
+            )
+        )
+    }
+
+    private fun sidecars(service: String): List<InstanceDescription> =
+        context.membership.instances().map { it.description }.filter {
+            (it.holding as? Holding.Service)?.service == service
+        }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
@@ -0,0 +1,78 @@
+package org.jacinthlink.entry.chat
+
+import kotlinx.serialization.SerializationException
+import org.jacinthlink.api.ErrorBody
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.StreamEvent
+import org.jacinthlink.decision.dispatch.AttemptFate
+import org.jacinthlink.decision.routing.FlowStage
+import org.jacinthlink.runtime.http.LineListener
+import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.runtime.http.StreamCall
+
+/** One attempt at one head. Turns the lines of its answer into events for [listener]. */
+internal class ChatAttempt(
+    val number: Int,
+    val head: FlowStage,
+    private val nowMs: () -> Long,
+    private val listener: Listener
+) : LineListener {
+    /** Receives what one attempt yields. */
+    interface Listener {
+        fun onEvent(attempt: ChatAttempt, event: StreamEvent)
+
+        fun onBroken(attempt: ChatAttempt, end: AttemptEnd)
+    }
+
+    @Volatile
+    var lastLineAtMs = nowMs()
+        private set
+
+    @Volatile
+    var call: StreamCall? = null
+
+    @Volatile
+    private var status = OK
+
+    override fun onStart(status: Int, headers: Map<String, String>) {
+        this.status = status
+        lastLineAtMs = nowMs()
+    }
+
+    override fun onLine(line: String) {
+        lastLineAtMs = nowMs()
+        if (line.isBlank()) return
+        try {
+            listener.onEvent(this, if (status == OK) event(line) else refusal(line))
+        } catch (e: SerializationException) {
+            broken(AttemptFate.UNKNOWN, "unreadable line: ${e.message?.lineSequence()?.first()}")
+        }
+    }
+
+    override fun onEnd() = broken(AttemptFate.UNKNOWN, "the answer ended early, status $status")
+
+    override fun onFailure(result: PeerResult) =
+        when (result) {
+            is PeerResult.NotSent -> broken(AttemptFate.NOT_RUN, result.message)
+            is PeerResult.Unknown -> broken(AttemptFate.UNKNOWN, result.message)
+            is PeerResult.Answered -> broken(AttemptFate.UNKNOWN, "status ${result.status}")
+        }
+
+    private fun broken(fate: AttemptFate, cause: String) =
+        listener.onBroken(this, AttemptEnd(fate, cause))
+
+    private fun event(line: String) =
+        ProtocolJson.decodeFromString(StreamEvent.serializer(), line)
+
+    private fun refusal(line: String): StreamEvent.Refused {
+        val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), line).error
+        val code =
+            ResultCode.entries.firstOrNull { it.number == error.code } ?: ResultCode.INTERNAL_ERROR
+        return StreamEvent.Refused(code, error.message, error.notRun)
+    }
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -0,0 +1,262 @@
+package org.jacinthlink.entry.chat
+
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.StreamEvent
+import org.jacinthlink.decision.dispatch.AttemptFate
+import org.jacinthlink.decision.quarantine.RunMode
+import org.jacinthlink.decision.routing.FlowStage
+import org.jacinthlink.entry.EntryContext
+
+/**
+ * Relays one chat request to heads until its answer is complete, resuming it on another head when
+ * one fails. All state is guarded by the monitor of the relay.
+ */
+internal class ChatRelay(
+    private val job: ChatJob,
+    private val parts: ChatParts,
+    private val responder: ChatResponder,
+    private val onDone: () -> Unit
+) : ChatAttempt.Listener {
+    private val context: EntryContext = parts.context
+    private val tokens = ArrayList<String>()
+    private val ends = ArrayList<AttemptEnd>()
+    private val excluded = HashSet<InstanceId>()
+    private var attempt: ChatAttempt? = null
+    private var attemptCount = 0
+    private var wasAccepted = false
+    private var isolated = false
+    private var waitsSinceMs: Long? = null
+    private var lastTokenAtMs = 0L
+    private var done = false
+
+    @Synchronized
+    fun start() {
+        isolated = parts.crashes.mode(job.chat.fingerprint, now()) == RunMode.ISOLATED
+        responder.onDisconnect(::callerGone)
+        dispatch()
+    }
+
+    /** Abandons an attempt that has fallen silent, and looks for a head if none was left. */
+    @Synchronized
+    fun tick(nowMs: Long) {
+        val current = attempt
+        when {
+            done -> Unit
+            current == null -> if (waitsSinceMs != null) dispatch()
+            nowMs - current.lastLineAtMs > SILENCE_MS -> {
+                parts.heads.suspect(current.head)
+                onBroken(current, AttemptEnd(AttemptFate.UNKNOWN, "silent for $SILENCE_MS ms"))
+            }
+        }
+    }
+
+    @Synchronized
+    override fun onEvent(attempt: ChatAttempt, event: StreamEvent) {
+        if (done || attempt !== this.attempt) return
+        when (event) {
+            is StreamEvent.Accepted -> {
+                wasAccepted = true
+                parts.heads.loads.reported(attempt.head.instance, event.load, now())
+            }
+            is StreamEvent.Heartbeat -> {
+                parts.heads.loads.reported(attempt.head.instance, event.load, now())
+                responder.idle()
+            }
+            is StreamEvent.Token -> token(attempt, event)
+            is StreamEvent.End -> end(attempt, event)
+            is StreamEvent.Refused -> refused(attempt, event)
+        }
+    }
+
+    @Synchronized
+    override fun onBroken(attempt: ChatAttempt, end: AttemptEnd) {
+        if (done || attempt !== this.attempt) return
+        if (end.fate == AttemptFate.NOT_RUN && end.refusal == null) {
+            context.membership.reportUnreachable(attempt.head.instance)
+        }
+        leave(attempt)
+        if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) {
+            parts.cancel(attempt, job.requestId)
+        }
+        ends += end
+        excluded += attempt.head.instance
+        record(
+            "dispatch_failed",
+            "head" to attempt.head.instance.value,
+            "attempt" to attempt.number,
+            "fate" to end.fate,
+            "code" to end.refusal?.code,
+            "cause" to end.cause
+        )
+        if (isRetried(end)) dispatch() else fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+    }
+
+    private fun token(attempt: ChatAttempt, event: StreamEvent.Token) {
+        if (event.index < tokens.size) return
+        if (event.index > tokens.size) {
+            val cause = "token ${event.index} came before token ${tokens.size}"
+            return onBroken(attempt, AttemptEnd(AttemptFate.RAN, cause))
+        }
+        val nowMs = now()
+        if (tokens.isEmpty()) {
+            record("first_token", "elapsed_ms" to nowMs - job.receivedAtMs)
+            context.metrics.firstToken(className(), nowMs - job.receivedAtMs)
+        } else {
+            context.metrics.tokenGap(className(), nowMs - lastTokenAtMs)
+        }
+        lastTokenAtMs = nowMs
+        tokens += event.text
+        responder.token(event.text)
+    }
+
+    private fun end(attempt: ChatAttempt, event: StreamEvent.End) {
+        if (event.tokenCount != tokens.size) {
+            val cause = "the end states ${event.tokenCount} tokens, ${tokens.size} arrived"
+            return onBroken(attempt, AttemptEnd(AttemptFate.RAN, cause))
+        }
+        leave(attempt)
+        responder.end(event.reason, tokens.size)
+        finish(null)
+    }
+
+    private fun refused(attempt: ChatAttempt, event: StreamEvent.Refused) {
+        val fate = if (event.notRun) AttemptFate.NOT_RUN else AttemptFate.RAN
+        if (event.code == ResultCode.DRAINING) {
+            context.membership.reportDraining(attempt.head.instance)
+        }
+        if (!event.backendServerCrashed) {
+            return onBroken(attempt, AttemptEnd(fate, event.message, event))
+        }
+        isolated = true
+        if (parts.crashes.crashed(job.chat.fingerprint, now()) == RunMode.REFUSED) {
+            ends += AttemptEnd(fate, event.message, event)
+            leave(attempt)
+            quarantine()
+        } else {
+            onBroken(attempt, AttemptEnd(fate, event.message, event))
+        }
+    }
+
+    private fun quarantine() {
+        val fingerprint = job.chat.fingerprint
+        parts.crashes.quarantine(fingerprint, job.requestId, now()) {
+            synchronized(this) {
+                val message = "the request crashed two backend servers; fingerprint $fingerprint"
+                if (!done) fail(ChatFailure(ResultCode.QUARANTINED, message, notRun = false))
+            }
+        }
+    }
+
+    private fun isRetried(end: AttemptEnd): Boolean =
+        RetryRules.mayFollow(ends) &&
+            (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
+
+    private fun dispatch() {
+        val remainingMs = remainingMs()
+        if (remainingMs <= 0) return fail(tooLate())
+        val head = chooseHead() ?: return waitForHead()
+        waitsSinceMs = null
+        val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
+        attempt = next
+        parts.heads.loads.sent(head.instance)
+        if (next.number > 0) context.metrics.retried()
+        record(
+            "head_chosen",
+            "head" to head.instance.value,
+            "zone" to head.availabilityZone,
+            "attempt" to next.number,
+            "isolated" to isolated
+        )
+        if (tokens.isNotEmpty()) {
+            record("stream_resumed", "head" to head.instance.value, "from_token" to tokens.size)
+        }
+        next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
+    }
+
+    // Once each head has failed, those that failed first may serve again.
+    private fun chooseHead(): FlowStage? =
+        parts.heads.choose(job.chat.model, excluded, now())
+            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN }) {
+                excluded.clear()
+                parts.heads.choose(job.chat.model, excluded, now())
+            } else {
+                null
+            }
+
+    private fun waitForHead() {
+        val sinceMs = waitsSinceMs ?: now().also { waitsSinceMs = it }
+        if (RetryRules.isFull(ends) || now() - sinceMs >= MAX_HEAD_WAIT_MS) {
+            fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+        }
+    }
+
+    // A request that a head had accepted is worth finishing late.
+    private fun remainingMs(): Long {
+        val remainingMs = job.receivedAtMs + job.caller.workClass.targetMs - now()
+        return if (wasAccepted) maxOf(remainingMs, RESUME_TIME_MS) else remainingMs
+    }
+
+    private fun tooLate(): ChatFailure {
+        val failure = RetryRules.failure(ends, tokens.isNotEmpty())
+        val message = "the target of ${job.caller.workClass.targetMs} ms passed: ${failure.message}"
+        val code =
+            if (failure.notRun) ResultCode.DEADLINE_UNREACHABLE else ResultCode.DEADLINE_EXCEEDED
+        return ChatFailure(code, message, failure.notRun, failure.retryAfterMs)
+    }
+
+    @Synchronized
+    private fun callerGone() {
+        if (done) return
+        attempt?.let {
+            leave(it)
+            parts.cancel(it, job.requestId)
+        }
+        done = true
+        record("caller_gone", "tokens" to tokens.size, "attempts" to attemptCount)
+        context.metrics.callerGone(className(), attemptCount)
+        onDone()
+    }
+
+    private fun leave(attempt: ChatAttempt) {
+        this.attempt = null
+        parts.heads.loads.finished(attempt.head.instance)
+    }
+
+    private fun fail(failure: ChatFailure) {
+        responder.fail(failure)
+        finish(failure)
+    }
+
+    private fun finish(failure: ChatFailure?) {
+        done = true
+        record(
+            "request_ended",
+            "code" to (failure?.code ?: "OK"),
+            "not_run" to failure?.notRun,
+            "tokens" to tokens.size,
+            "attempts" to attemptCount,
+            "elapsed_ms" to now() - job.receivedAtMs
+        )
+        context.metrics.ended(className(), failure?.code, attemptCount)
+        onDone()
+    }
+
+    private fun record(name: String, vararg fields: Pair<String, Any?>) =
+        context.eventLog.record(name, job.requestId, *fields)
+
+    private fun className() = job.caller.workClass.name
+
+    private fun now() = context.clock.nowMs()
+
+    private companion object {
+        // Heads send a line at least each 250 ms.
+        const val SILENCE_MS = 1_200L
+
+        // The loss of a head is to be repaired within two seconds.
+        const val RESUME_TIME_MS = 2_000L
+
+        // A failed zone leaves the membership within this time, and other heads become known.
+        const val MAX_HEAD_WAIT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashBroadcast.kt
@@ -0,0 +1,47 @@
+package org.jacinthlink.entry.chat
+
+import java.util.concurrent.ConcurrentLinkedQueue
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.Role
+import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.entry.tryExecute
+import org.jacinthlink.runtime.http.PeerCall
+
+/**
+ * Tells all other entries of crashes, so that a caller who retries at another entry does not start
+ * the count anew. Crashes of one batch share a notice.
+ */
+internal class CrashBroadcast(private val context: EntryContext) {
+    private val waiting = ConcurrentLinkedQueue<String>()
+
+    fun start() = context.scope.repeat("crash-broadcast", { INTERVAL_MS }, ::send)
+
+    fun add(fingerprint: String) {
+        waiting += fingerprint
+    }
+
+    private fun send() {
+        val fingerprints = generateSequence { waiting.poll() }.take(MAX_FINGERPRINTS).toList()
+        if (fingerprints.isEmpty()) return
+        val body =
+            ProtocolJson.encodeToString(CrashNotice.serializer(), CrashNotice(fingerprints))
+        context.membership.instances()
+            .map { it.description }
+            .filter { it.role == Role.ENTRY && it.instance != context.instance }
+            .forEach { peer ->
+                context.background.tryExecute {
+                    val call = PeerCall("POST", "http://${peer.address}$CRASHES_PATH", body)
+                    context.peerClient.call(call, TIMEOUT_MS)
+                }
+            }
+    }
+
+    private companion object {
+        const val INTERVAL_MS = 50L
+        const val TIMEOUT_MS = 500L
+        const val MAX_FINGERPRINTS = 1_000
+    }
+}
+
+/** Path on which entries take a [CrashNotice] from other entries. */
+internal const val CRASHES_PATH = "/v1/crashes"
--- /dev/null
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashRegister.kt
@@ -0,0 +1,108 @@
+package org.jacinthlink.entry.chat
+
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
+import org.jacinthlink.api.ConfigurationChange
+import org.jacinthlink.api.Failure
+import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.Success
+import org.jacinthlink.decision.quarantine.CrashSuspects
+import org.jacinthlink.decision.quarantine.RunMode
+import org.jacinthlink.decision.quarantine.recordCrash
+import org.jacinthlink.decision.quarantine.runMode
+import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.entry.tryExecute
+
+/** Requests that crashed backend servers, by fingerprint, and their quarantine. */
+internal class CrashRegister(private val context: EntryContext) {
+    private val suspects = AtomicReference(CrashSuspects())
+
+    // Quarantines that are not yet written, as during an outage of the key-value service.
+    private val pending = ConcurrentHashMap<String, ConfigurationChange.Quarantine>()
+
+    private val broadcast = CrashBroadcast(context)
+
+    fun start() {
+        context.scope.repeat("quarantine", { RETRY_MS }, ::writePending)
+        broadcast.start()
+        val quarantined = AtomicReference(context.configuration.current.quarantine.keys)
+        context.configuration.addListener { newer ->
+            // An operator's release outweighs the crashes that this entry remembers.
+            forget(quarantined.getAndSet(newer.quarantine.keys) - newer.quarantine.keys)
+        }
+    }
+
+    /** How a request with [fingerprint] may run now. */
+    fun mode(fingerprint: String, nowMs: Long): RunMode =
+        if (fingerprint in context.configuration.current.quarantine) {
+            RunMode.REFUSED
+        } else {
+            runMode(suspects.get(), fingerprint, nowMs)
+        }
+
+    /** Notes a crash that this entry saw; returns how the request may run after it. */
+    fun crashed(fingerprint: String, nowMs: Long): RunMode {
+        broadcast.add(fingerprint)
+        return noticed(listOf(fingerprint), nowMs).let { runMode(it, fingerprint, nowMs) }
+    }
+
+    /** Notes crashes that another entry saw. */
+    fun noticed(fingerprints: List<String>, nowMs: Long): CrashSuspects =
+        suspects.updateAndGet { recordCrash(it, fingerprints, nowMs) }
+
+    private fun forget(released: Set<String>) {
+        if (released.isEmpty()) return
+        suspects.updateAndGet { CrashSuspects(it.crashTimesMs - released) }
+        released.forEach { pending.remove(it) }
+    }
+
+    /**
+     * Quarantines [fingerprint] and then calls [onWritten], whether or not the write succeeded. The
+     * answer to the caller waits for it, so that a retry at another entry finds the quarantine.
+     */
+    fun quarantine(
+        fingerprint: String,
+        requestId: RequestId,
+        nowMs: Long,
+        onWritten: () -> Unit
+    ) {
+        val change =
+            ConfigurationChange.Quarantine(UUID.randomUUID().toString(), fingerprint, nowMs)
+        pending[fingerprint] = change
+        val queued =
+            context.background.tryExecute {
+                write(change, requestId)
+                onWritten()
+            }
+        if (!queued) onWritten()
+    }
+
+    private fun writePending() = pending.values.forEach { write(it, null) }
+
+    private fun write(change: ConfigurationChange.Quarantine, requestId: RequestId?) {
+        when (val result = context.configurationEditor.apply(change)) {
+            is Success -> {
+                pending -= change.fingerprint
+                context.eventLog.record(
+                    "quarantined",
+                    requestId,
+                    "fingerprint" to change.fingerprint,
+                    "revision" to result.value.revision
+                )
+            }
+            is Failure ->
+                context.eventLog.record(
+                    "quarantine_not_written",
+                    requestId,
+                    "fingerprint" to change.fingerprint,
+                    "code" to result.code,
+                    "reason" to result.message
+                )
+        }
+    }
+
+    private companion object {
+        const val RETRY_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -0,0 +1,211 @@
+package org.jacinthlink.entry
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import java.net.ServerSocket
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.StreamEvent
+import org.jacinthlink.api.StreamOpen
+import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.runtime.http.PushSink
+
+private const val CHAT = "/v1/chat/completions"
+private const val BODY = """{"model":"m","messages":[{"role":"user","content":"say it"}]}"""
+private const val STREAMED =
+    """{"model":"m","messages":[{"role":"user","content":"say it"}],"stream":true}"""
+private const val TOTAL = 5
+
+private fun resume(open: StreamOpen, sink: PushSink) {
+    // A resumed head may send again what the caller already has.
+    sink.tokens((open.emittedTokens.size - 1).coerceAtLeast(0) until TOTAL, TOTAL)
+}
+
+private fun refused(code: ResultCode, notRun: Boolean = true, crashed: Boolean = false) =
+    { _: StreamOpen, sink: PushSink ->
+        sink.event(StreamEvent.Refused(code, "scripted", notRun, backendServerCrashed = crashed))
+        sink.close()
+    }
+
+private fun PeerResult.Answered.code(): Int =
+    Regex("\"code\":(\\d+)").find(body)?.groupValues?.get(1)?.toInt() ?: 0
+
+private fun PeerResult.Answered.content(): String =
+    Regex("\"content\":\"([^\"]*)\"").findAll(body).joinToString("") { it.groupValues[1] }
+
+class ChatSpec :
+    DescribeSpec({
+        fun fixture(test: Fixture.() -> Unit) = Fixture().use(test)
+
+        describe("a chat completion") {
+            // Guards against answers that clients of the OpenAI shapes cannot read.
+            it("comes whole, or as server-sent events that end with [DONE]") {
+                fixture {
+                    head("h1", ::resume)
+                    val whole = post(CHAT, BODY)
+                    whole.status shouldBe 200
+                    whole.content() shouldBe " t0 t1 t2 t3 t4"
+                    whole.body shouldContain "\"completion_tokens\":5"
+                    val streamed = post(CHAT, STREAMED)
+                    streamed.headers["content-type"] shouldBe "text/event-stream"
+                    streamed.content() shouldBe " t0 t1 t2 t3 t4"
+                    streamed.body shouldEndWith "data: [DONE]\n\n"
+                    opened.first().promptTokens shouldContainExactly listOf("user:", "say", "it")
+                }
+            }
+
+            // Guards against tokens that are lost, repeated or skipped when a head fails.
+            listOf<Pair<String, (StreamOpen, PushSink) -> Unit>>(
+                "ends early" to { _, sink -> sink.tokens(0..1, TOTAL) },
+                "skips a token" to { _, sink ->
+                    sink.event(StreamEvent.Token(0, " t0"))
+                    sink.event(StreamEvent.Token(2, " t2"))
+                },
+                "states another count at its end" to { _, sink ->
+                    sink.event(StreamEvent.Token(0, " t0"))
+                    sink.event(StreamEvent.End("stop", 2))
+                },
+                "falls silent" to { _, sink -> sink.event(StreamEvent.Token(0, " t0")) },
+                "hands its streams over" to { open, sink ->
+                    sink.event(StreamEvent.Token(0, " t0"))
+                    refused(ResultCode.DRAINING, notRun = false)(open, sink)
+                }
+            ).forEach { (fault, script) ->
+                it("is resumed on another head when the first one $fault") {
+                    fixture {
+                        listOf("h1", "h2").forEach { id ->
+                            head(id) { open, sink ->
+                                if (open.stream.attempt ==
+                                    0
+                                ) {
+                                    script(open, sink)
+                                } else {
+                                    resume(open, sink)
+                                }
+                            }
+                        }
+                        val startNs = System.nanoTime()
+                        post(CHAT, STREAMED).content() shouldBe " t0 t1 t2 t3 t4"
+                        ((System.nanoTime() - startNs) / 1_000_000).toInt() shouldBeLessThan 2_000
+                        opened.map { it.stream.attempt } shouldContainExactly listOf(0, 1)
+                        opened[1].emittedTokens.first() shouldBe " t0"
+                    }
+                }
+            }
+
+            // Guards against a refusal that claims "not run" although an attempt ran, and against
+            // a true one that is not said.
+            it("is refused as not run only if no attempt can have run") {
+                fixture {
+                    val unused = ServerSocket(0).use { it.localPort }
+                    membership.add("gone", unused, Holding.Stage("m", 0, 2, 2, 100.0))
+                    head("h1", refused(ResultCode.OVERLOADED))
+                    val answer = post(CHAT, BODY)
+                    answer.status shouldBe 429
+                    answer.body shouldContain "\"not_run\":true"
+                }
+                fixture {
+                    head("h1") { open, sink ->
+                        if (open.stream.attempt == 0) {
+                            sink.close()
+                        } else {
+                            refused(ResultCode.OVERLOADED)(open, sink)
+                        }
+                    }
+                    val answer = post(CHAT, BODY)
+                    answer.code() shouldBe ResultCode.STREAM_FAILED.number
+                    answer.body shouldContain "\"not_run\":false"
+                }
+            }
+
+            // Guards against a request that crashes a third backend server on its caller's retry.
+            it("runs isolated after a crash and is quarantined after the second") {
+                fixture {
+                    val crash = refused(ResultCode.STREAM_FAILED, notRun = false, crashed = true)
+                    listOf("h1", "h2", "h3").forEach { head(it, crash) }
+                    val answer = post(CHAT, BODY)
+                    answer.code() shouldBe ResultCode.QUARANTINED.number
+                    answer.body shouldContain "\"not_run\":false"
+                    opened.map { it.isolated } shouldContainExactly listOf(false, true)
+                    configuration.current.quarantine.keys shouldBe setOf(opened[0].fingerprint)
+                    val same =
+                        """{"messages":[{"content":" say  it","role":"user"}], "model":"m"}"""
+                    val retried = post(CHAT, same)
+                    retried.code() shouldBe ResultCode.QUARANTINED.number
+                    retried.body shouldContain "\"not_run\":true"
+                    opened.size shouldBe 2
+                }
+            }
+
+            // Guards against a count of crashes that starts anew at each entry.
+            it("counts the crashes that other entries saw") {
+                fixture {
+                    head("h1", ::resume)
+                    post(CHAT, BODY).status shouldBe 200
+                    val seen = opened.last().fingerprint
+                    post("/v1/crashes", """{"fingerprints":["$seen"]}""").status shouldBe 204
+                    post(CHAT, BODY).status shouldBe 200
+                    opened.map { it.isolated } shouldContainExactly listOf(false, true)
+                }
+            }
+
+            // Guards against faulty requests that reach a head.
+            it("is validated before anything runs") {
+                fixture {
+                    head("h1", ::resume)
+                    val faults =
+                        listOf(
+                            Triple("{", emptyMap(), ResultCode.MALFORMED_REQUEST),
+                            Triple("[]", emptyMap(), ResultCode.MALFORMED_REQUEST),
+                            Triple(
+                                """{"model":"m","messages":[]}""",
+                                emptyMap(),
+                                ResultCode.MALFORMED_REQUEST
+                            ),
+                            Triple(
+                                BODY.replace("\"say it\"", "7"),
+                                emptyMap(),
+                                ResultCode.MALFORMED_REQUEST
+                            ),
+                            Triple(
+                                BODY.replace("}]}", "}],\"max_tokens\":0}"),
+                                emptyMap(),
+                                ResultCode.MALFORMED_REQUEST
+                            ),
+                            Triple(
+                                BODY.replace("\"m\"", "\"other\""),
+                                emptyMap(),
+                                ResultCode.UNKNOWN_MODEL
+                            ),
+                            Triple("x".repeat(5_000), emptyMap(), ResultCode.BODY_TOO_LARGE),
+                            Triple(
+                                BODY,
+                                mapOf("x-jacinthlink-workspace" to "a b"),
+                                ResultCode.UNKNOWN_WORKSPACE
+                            ),
+                            Triple(
+                                BODY,
+                                mapOf("x-jacinthlink-class" to "none"),
+                                ResultCode.UNKNOWN_CLASS
+                            )
+                        )
+                    faults.forEach { (body, headers, expected) ->
+                        withClue("${body.take(60)} $headers") {
+                            val answer = post(CHAT, body, headers)
+                            answer.code() shouldBe expected.number
+                            answer.status shouldBe expected.httpStatus
+                            answer.body shouldContain "\"not_run\":true"
+                        }
+                    }
+                    draining = true
+                    post(CHAT, BODY).code() shouldBe ResultCode.DRAINING.number
+                    opened.size shouldBe 0
+                }
+            }
+        }
+    })
