Treat models and services as unavailable while an entry settles

A restarted entry learns its instances over some seconds and answered 'unknown model' meanwhile, which callers take as final. Until the settling time is over such requests wait shortly and are refused as unavailable. Cancelled claims get the time that sidecars allow for their write.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -26,6 +26,11 @@
 ) {
     val limits: EntryLimits get() = settings.limits
     val availabilityZone: String get() = settings.daemon.availabilityZone
+    private val startedAtMs = clock.nowMs()
+
+    /** True while the membership may not know all instances yet. */
+    val isSettling: Boolean get() = clock.nowMs() - startedAtMs < limits.settlingMs
+
     val metrics = EntryMetrics(meters)
 
     /** For short calls beside requests, as probes. */
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
@@ -10,6 +10,8 @@
  *   wrong number costs conflicts between sidecars, but no correctness.
  * @property callThreads Plain calls in execution at the same time.
  * @property maxQueuedCalls Plain calls that wait for a thread; further ones are refused.
+ * @property settlingMs Time after the start in which models and services that are not known yet
+ *   count as unavailable, not as unknown.
  */
 @Serializable
 data class EntryLimits(
@@ -20,5 +22,6 @@
     val defaultMaxTokens: Int = 256,
     val claimBuckets: Int = 16,
     val callThreads: Int = 64,
-    val maxQueuedCalls: Int = 256
+    val maxQueuedCalls: Int = 256,
+    val settlingMs: Long = 5_000
 )
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
@@ -40,6 +40,7 @@
     inRange("limits.claimBuckets", limits.claimBuckets, 1..65_536)
     inRange("limits.callThreads", limits.callThreads, 1..1_000)
     inRange("limits.maxQueuedCalls", limits.maxQueuedCalls, 1..10_000)
+    inRange("limits.settlingMs", limits.settlingMs, 0L..60_000L)
 }
 
 private fun Validation.url(path: String, value: String) =
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -44,7 +44,7 @@
         if (remainingMs() <= 0 || fates.size >= MAX_ATTEMPTS) return false
         if (fates.isEmpty()) return true
         val isCharged =
-            fates.last() != AttemptFate.NOT_RUN || lastRefusal?.code == ResultCode.OVERLOADED
+            fates.last() != AttemptFate.NOT_RUN || lastRefusal?.code in FULL
         if (isCharged && !retries.withdraw(context.clock.nowMs())) return false
         context.metrics.retried()
         return true
@@ -165,13 +165,19 @@
     private fun cancel(key: String): CallEnd {
         val call = job.call
         val cancel = CallCancel(job.requestId, call.workspace, call.service, key, call.bodyHash)
-        return directory.ranked(job).take(MAX_CANCELS).firstNotNullOfOrNull {
-            cancelAt(it, cancel)
+        val endAtMs = context.clock.nowMs() + MAX_CANCEL_MS
+        return directory.ranked(job).firstNotNullOfOrNull { sidecar ->
+            val leftMs = endAtMs - context.clock.nowMs()
+            if (leftMs > 0) cancelAt(sidecar, cancel, minOf(leftMs, CANCEL_TIMEOUT_MS)) else null
         } ?: unknown(lastCause)
     }
 
-    private fun cancelAt(sidecar: InstanceDescription, cancel: CallCancel): CallEnd? {
-        val reply = transport.cancel(sidecar, cancel, CANCEL_TIMEOUT_MS)
+    private fun cancelAt(
+        sidecar: InstanceDescription,
+        cancel: CallCancel,
+        timeoutMs: Long
+    ): CallEnd? {
+        val reply = transport.cancel(sidecar, cancel, timeoutMs)
         record("cancel_asked", "sidecar" to sidecar.instance.value, "reply" to reply)
         return when (val answer = (reply as? CallReply.Answer)?.answer) {
             null -> null
@@ -198,15 +204,18 @@
 
     private companion object {
         const val MAX_ATTEMPTS = 6
-        const val MAX_CANCELS = 3
         const val MIN_ATTEMPT_MS = 1_000L
-        const val CANCEL_TIMEOUT_MS = 1_000L
+
+        // Sidecars wait 2 s at most for the write of a cancelled claim.
+        const val CANCEL_TIMEOUT_MS = 2_500L
+        const val MAX_CANCEL_MS = 5_000L
         const val IN_PROGRESS_POLL_MS = 200L
         const val RETRY_AFTER_MS = 1_000L
 
+        val FULL = setOf(ResultCode.OVERLOADED, ResultCode.DEADLINE_UNREACHABLE)
         val CONCLUSIVE =
             setOf(ResultCode.CANCELLED_BEFORE_RUN, ResultCode.IDEMPOTENCY_KEY_REUSED)
         val RETRYABLE =
-            setOf(ResultCode.DRAINING, ResultCode.NO_BACKEND_SERVER, ResultCode.OVERLOADED)
+            FULL + setOf(ResultCode.DRAINING, ResultCode.NO_BACKEND_SERVER)
     }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
@@ -77,12 +77,15 @@
                     is Success ->
                         Success(CallJob(call.value, caller.workClass, context.clock.nowMs()))
                 }
-            directory.isFilled() ->
+            directory.isFilled() && !context.isSettling ->
                 Failure(
                     ResultCode.UNKNOWN_SERVICE,
                     "no instance offers service '${target.service}'"
                 )
-            else -> Failure(ResultCode.NO_BACKEND_SERVER, "no instance is known yet")
+            else -> Failure(
+                ResultCode.NO_BACKEND_SERVER,
+                "no instance of service '${target.service}' is known yet"
+            )
         }
     }
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -80,7 +80,7 @@
 
     private fun check(job: ChatJob): Outcome<ChatJob> =
         when {
-            !heads.isKnown(job.chat.model) && heads.plans().isNotEmpty() ->
+            !heads.isKnown(job.chat.model) && heads.plans().isNotEmpty() && !context.isSettling ->
                 Failure(
                     ResultCode.UNKNOWN_MODEL,
                     "no instance holds model '${job.chat.model.take(SHOWN)}'"
--- a/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.entry
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
@@ -8,10 +9,16 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
 import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.StreamEvent
 import org.jacinthlink.api.StreamOpen
+import org.jacinthlink.runtime.http.LineListener
+import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.runtime.http.PushSink
 
@@ -40,7 +47,7 @@
 
 class ChatSpec :
     DescribeSpec({
-        fun fixture(test: Fixture.() -> Unit) = Fixture().use(test)
+        suspend fun fixture(test: suspend Fixture.() -> Unit) = Fixture().use { it.test() }
 
         describe("a chat completion") {
             // Guards against answers that clients of the OpenAI shapes cannot read.
@@ -154,6 +161,43 @@
                 }
             }
 
+            // Guards against heads that go on generating for a caller who has left.
+            it("ends at its head when the caller goes away") {
+                fixture {
+                    val left = CompletableFuture<Unit>()
+                    head("h1") { _, sink ->
+                        sink.onDisconnect { left.complete(Unit) }
+                        thread {
+                            var index = 0
+                            while (!left.isDone && index < 500) {
+                                sink.event(StreamEvent.Token(index, " t${index++}"))
+                                Thread.sleep(20)
+                            }
+                        }
+                    }
+                    val first = CompletableFuture<Unit>()
+                    val listener =
+                        object : LineListener {
+                            override fun onLine(line: String) {
+                                first.complete(Unit)
+                            }
+
+                            override fun onEnd() = Unit
+
+                            override fun onFailure(result: PeerResult) = Unit
+                        }
+                    val headers =
+                        mapOf("x-jacinthlink-workspace" to "w", "x-jacinthlink-class" to "urgent")
+                    val call = PeerCall("POST", base + CHAT, STREAMED, headers)
+                    val stream = client.stream(call, 1_000, listener)
+                    first.get(5, TimeUnit.SECONDS)
+                    entry.openRequests shouldBe 1
+                    stream.cancel()
+                    left.get(5, TimeUnit.SECONDS)
+                    eventually(5.seconds) { entry.openRequests shouldBe 0 }
+                }
+            }
+
             // Guards against faulty requests that reach a head.
             it("is validated before anything runs") {
                 fixture {
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -102,7 +102,7 @@
 }
 
 /** An entry on a real port, with sidecars that a test scripts. */
-class Fixture : AutoCloseable {
+internal class Fixture : AutoCloseable {
     val membership = FakeMembership()
     val configuration = FakeConfiguration()
     val opened = CopyOnWriteArrayList<StreamOpen>()
@@ -111,7 +111,7 @@
     private val clock = systemClock()
     private val log = eventLog("entry", clock)
     private val scope = rootScope("entry", log)
-    private val client = peerClient()
+    val client = peerClient()
     private val context =
         EntryContext(
             InstanceId("entry"),
@@ -120,7 +120,7 @@
                 "http://127.0.0.1:1",
                 "http://127.0.0.1:1",
                 OPERATOR_TOKEN,
-                EntryLimits(maxBodyBytes = 4_000)
+                EntryLimits(maxBodyBytes = 4_000, settlingMs = 0)
             ),
             clock,
             scope,
@@ -131,7 +131,7 @@
             configuration,
             configuration
         ) { draining }
-    private val entry = EntryServer(context).apply { start() }
+    val entry = EntryServer(context).apply { start() }
     private val servers =
         CopyOnWriteArrayList(
             listOf(
