--- /dev/null
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/Announcer.kt
@@ -0,0 +1,53 @@
+package org.jacinthlink.runtime.daemon
+
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.runtime.http.PeerCall
+import org.jacinthlink.runtime.http.PeerClient
+import org.jacinthlink.runtime.supervision.Scope
+
+/** Sends the description of this process to its subscribers when it changes. */
+internal class Announcer(
+    private val describe: () -> InstanceDescription,
+    private val subscribers: () -> List<String>,
+    private val client: PeerClient
+) {
+    private var announced: InstanceDescription? = null
+
+    /** Begins to watch the description in [scope]. */
+    fun start(scope: Scope) = scope.repeat("announce", { WATCH_INTERVAL_MS }, ::announceChange)
+
+    /** Sends the description to all subscribers, for a few seconds at most. */
+    fun announce() {
+        val body = encodeDescription(describe())
+        val pool = Executors.newFixedThreadPool(PARALLEL_CALLS, ::daemonThread)
+        subscribers().forEach { address ->
+            val call = PeerCall("POST", "http://$address/v1/describe", body)
+            pool.execute { client.call(call, CALL_TIMEOUT_MS) }
+        }
+        pool.shutdown()
+        pool.awaitTermination(MAX_DURATION_MS, TimeUnit.MILLISECONDS)
+        pool.shutdownNow()
+    }
+
+    private fun announceChange() {
+        val present = describe().copy(load = null, configurationRevision = 0)
+        val before = announced
+        announced = present
+        if (before != null && before != present && !present.draining) announce()
+    }
+
+    private companion object {
+        // Also bounds the messages of a backend server that fails and returns all the time.
+        const val WATCH_INTERVAL_MS = 1_000L
+        const val CALL_TIMEOUT_MS = 500L
+        const val PARALLEL_CALLS = 16
+
+        // Leaves most of the five seconds after which a stopping process may get no new work.
+        const val MAX_DURATION_MS = 3_000L
+    }
+}
+
+private fun daemonThread(task: Runnable) =
+    Thread(task, "announce").apply { isDaemon = true }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DescribeSubscribers.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DescribeSubscribers.kt
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** Peers that asked for this process' description and are told when it begins to drain. */
+/** Peers that asked for this process' description and are told when it changes. */
 internal class DescribeSubscribers {
     private val lastAskedMs = ConcurrentHashMap<String, Long>()
 
@@ -23,8 +23,8 @@
     }
 
     private companion object {
-        // A process that knows 960 instances describes each of them once in two minutes.
-        const val RETENTION_MS = 180_000L
+        // A process that knows 960 instances asks each of them once in four minutes.
+        const val RETENTION_MS = 300_000L
         const val MAX_SUBSCRIBERS = 4_096
     }
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -1,9 +1,5 @@
 package org.jacinthlink.runtime.daemon
 
-import io.micrometer.core.instrument.Gauge
-import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
-import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics
-import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.util.concurrent.CountDownLatch
@@ -26,6 +22,7 @@
 import org.jacinthlink.runtime.events.eventLog
 import org.jacinthlink.runtime.events.logicalClock
 import org.jacinthlink.runtime.http.HttpServer
+import org.jacinthlink.runtime.http.HttpTraffic
 import org.jacinthlink.runtime.http.ObservingPeerClient
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.http.peerClient
@@ -70,6 +67,8 @@
     override val configurationEditor: ConfigurationEditor = newEditor()
 
     private val subscribers = DescribeSubscribers()
+    private val announcer =
+        Announcer(::describe, { subscribers.recent(clock.nowMs()) }, controlClient)
     private val drainStarted = AtomicBoolean(false)
     private val stopStarted = AtomicBoolean(false)
     private val stopped = CountDownLatch(1)
@@ -86,11 +85,14 @@
 
     fun start(makeLogic: (DaemonContext) -> DaemonLogic) {
         logic = makeLogic(this)
-        bindMeters()
         val endpoints = DaemonEndpoints(this)
-        server = startHttpServer(settings.host, settings.port, setup.limits, endpoints::handle)
+        val started =
+            startHttpServer(settings.host, settings.port, setup.limits, endpoints::handle)
+        server = started
+        bindDaemonMeters(meters, this, logic, started)
         membership.start(scope.child("membership"))
         sync.start(scope.child("configuration"))
+        announcer.start(scope)
         if (setup.stopOnSignal) stopOnSignal()
         eventLog.record("started", null, "address" to address, "role" to setup.role)
     }
@@ -99,7 +101,7 @@
         if (!drainStarted.compareAndSet(false, true)) return
         eventLog.record("drain_started", null, "open_work" to logic.openWork())
         // Not a daemon thread: the process must not end before its work does.
-        thread(name = "drain") { Drain(this, logic, controlClient, subscribers).run() }
+        thread(name = "drain") { Drain(this, logic, announcer).run() }
     }
 
     override fun awaitStopped() = stopped.await()
@@ -113,6 +115,9 @@
         stopped.countDown()
     }
 
+    /** What the server of this process served so far. */
+    fun traffic(): HttpTraffic? = server?.traffic
+
     fun describe(): InstanceDescription {
         val state = logic.state()
         return InstanceDescription(
@@ -188,18 +193,6 @@
             eventLog
         )
 
-    private fun bindMeters() {
-        JvmMemoryMetrics().bindTo(meters)
-        JvmThreadMetrics().bindTo(meters)
-        ProcessorMetrics().bindTo(meters)
-        Gauge.builder("jacinthlink.configuration.revision") { configuration.current.revision }
-            .register(meters)
-        Gauge.builder("jacinthlink.membership.instances") { membership.instances().size }
-            .register(meters)
-        Gauge.builder("jacinthlink.draining") { if (draining) 1 else 0 }.register(meters)
-        Gauge.builder("jacinthlink.open.work") { logic.openWork() }.register(meters)
-    }
-
     private fun stopOnSignal() =
         Runtime.getRuntime().addShutdownHook(
             Thread {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowServer.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowServer.kt
@@ -19,6 +19,7 @@
             .setWorkerThreads(limits.workerThreads)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.requestTimeoutMs)
+            .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_TIMEOUT_MS)
             .setHandler(UndertowHandler(handler, limits))
             .build()
@@ -32,5 +33,11 @@
     override val port: Int =
         (undertow.listenerInfo.first().address as InetSocketAddress).port
 
+    override val traffic: HttpTraffic
+        get() =
+            with(undertow.listenerInfo.first().connectorStatistics) {
+                HttpTraffic(requestCount, bytesReceived, bytesSent)
+            }
+
     override fun stop() = undertow.stop()
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
@@ -85,8 +85,8 @@
         const val MIN_INTERVAL_MS = 2_000L
         const val MAX_BACKOFF_MS = 16_000L
 
-        // One entry of the list is about 110 bytes, so reads take at most about 5 KB/s.
-        const val INTERVAL_PER_INSTANCE_MS = 22L
+        // One entry of the list is about 110 bytes, so reads take at most about 4 KB/s.
+        const val INTERVAL_PER_INSTANCE_MS = 26L
         const val PEER_TIMEOUT_MS = 1_000L
 
         // A list that is hardly newer is not worth the change.
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
@@ -149,7 +149,7 @@
     private fun nowMs() = parts.clock.nowMs()
 
     private companion object {
-        const val DESCRIBE_TICK_MS = 100L
+        const val DESCRIBE_TICK_MS = 200L
         const val DESCRIBE_TIMEOUT_MS = 1_000L
 
         // A silent instance holds a thread for the timeout; probes of a whole silent zone of 75
