--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -21,9 +21,11 @@
 internal class DaemonEndpoints(private val shell: HttpDaemonShell) {
     /** Serves one request. A fault of a handler becomes an answer and never ends the process. */
     fun handle(request: Request): Response {
+        shell.awaitListening()
+        val fromPeer = shell.protocol.isFromPeer(request)
         val response =
             try {
-                route(request)
+                route(request, fromPeer)
             } catch (e: Throwable) {
                 shell.handlerFailed(request, e)
                 errorResponse(
@@ -31,12 +33,11 @@
                     "internal error: ${e.javaClass.simpleName}"
                 )
             }
-        return shell.withAnswerHeaders(response)
+        return shell.withAnswerHeaders(response, fromPeer)
     }
 
-    private fun route(request: Request): Response {
+    private fun route(request: Request, fromPeer: Boolean): Response {
         val path = request.uri.path
-        val fromPeer = shell.protocol.isFromPeer(request)
         if (fromPeer) shell.protocol.observe(request, shell.sync)
         return when {
             path == "/health" -> health()
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSettings.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSettings.kt
@@ -42,6 +42,9 @@
     check("${prefix}peerToken", settings.peerToken.length >= MIN_TOKEN_LENGTH) {
         "must have at least $MIN_TOKEN_LENGTH characters, has ${settings.peerToken.length}"
     }
+    check("${prefix}peerToken", settings.peerToken.all { it in '!'..'~' }) {
+        "must hold printable ASCII characters without spaces only, as it is sent in a header"
+    }
     settings.advertisedAddress?.let { address("${prefix}advertisedAddress", it) }
     settings.seeds.forEachIndexed { index, seed -> address("${prefix}seeds[$index]", seed) }
     inRange("${prefix}drainTimeoutMs", settings.drainTimeoutMs, 0L..3_600_000L)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSetup.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSetup.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.api.KeyValueService
 import org.jacinthlink.api.ListedInstance
 import org.jacinthlink.api.Role
+import org.jacinthlink.decision.configuration.applyChange
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.configuration.ApplyChange
 import org.jacinthlink.runtime.http.PeerClient
@@ -22,7 +23,7 @@
     val settings: DaemonSettings,
     val role: Role,
     val platform: (PeerClient) -> DaemonPlatform,
-    val applyChange: ApplyChange,
+    val applyChange: ApplyChange = ::applyChange,
     val interest: (ListedInstance) -> Boolean = { true },
     val limits: ServerLimits = ServerLimits(),
     val clock: Clock = systemClock(),
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -8,6 +8,7 @@
 import kotlin.random.Random
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.jacinthlink.api.Headers
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ListedInstance
@@ -71,6 +72,7 @@
         Announcer(::describe, { subscribers.recent(clock.nowMs()) }, controlClient)
     private val drainStarted = AtomicBoolean(false)
     private val stopStarted = AtomicBoolean(false)
+    private val listening = CountDownLatch(1)
     private val stopped = CountDownLatch(1)
     lateinit var logic: DaemonLogic
         private set
@@ -89,6 +91,7 @@
         val started =
             startHttpServer(settings.host, settings.port, setup.limits, endpoints::handle)
         server = started
+        listening.countDown()
         bindDaemonMeters(meters, this, logic, started)
         membership.start(scope.child("membership"))
         sync.start(scope.child("configuration"))
@@ -118,6 +121,9 @@
     /** What the server of this process served so far. */
     fun traffic(): HttpTraffic? = server?.traffic
 
+    /** Waits until the port is known; the first request can come before that. */
+    fun awaitListening() = listening.await()
+
     fun describe(): InstanceDescription {
         val state = logic.state()
         return InstanceDescription(
@@ -141,8 +147,10 @@
 
     fun scrapeMetrics(): String = meters.scrape()
 
-    fun withAnswerHeaders(response: Response): Response =
-        protocol.withAnswerHeaders(response, instance.takeIf { draining })
+    fun withAnswerHeaders(response: Response, toPeer: Boolean): Response {
+        val answer = if (toPeer) protocol.withAnswerHeaders(response) else response
+        return if (draining) answer.header(Headers.DRAINING, instance.value) else answer
+    }
 
     fun handlerFailed(request: Request, cause: Throwable) {
         meters.counter("jacinthlink.handler.failures").increment()
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/PeerProtocol.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/PeerProtocol.kt
@@ -31,14 +31,11 @@
             senderAddress?.let { put(Headers.SENDER, it) }
         }
 
-    /** Adds the headers of an answer; [drainingInstance] is this process while it drains. */
-    fun withAnswerHeaders(response: Response, drainingInstance: InstanceId?): Response {
-        val answer =
-            response
-                .header(Headers.REVISION, configuration.current.revision.toString())
-                .header(Headers.CLOCK, logicalClock.tick(clock.nowMs()).toString())
-        return drainingInstance?.let { answer.header(Headers.DRAINING, it.value) } ?: answer
-    }
+    /** Adds the headers of every answer to a peer. */
+    fun withAnswerHeaders(response: Response): Response =
+        response
+            .header(Headers.REVISION, configuration.current.revision.toString())
+            .header(Headers.CLOCK, logicalClock.tick(clock.nowMs()).toString())
 
     /** True if [request] carries the token. The comparison takes the same time for any value. */
     fun isFromPeer(request: Request): Boolean =
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
@@ -59,7 +59,7 @@
     private fun failed(message: String, peers: List<String>): List<ListedInstance>? {
         failures++
         if (failures == 1) eventLog.record("instance_list_down", null, "error" to message)
-        return peers.takeIf { it.isNotEmpty() }?.let { askPeer(it.random(random)) }
+        return peers.shuffled(random).take(MAX_PEERS).firstNotNullOfOrNull(::askPeer)
     }
 
     private fun askPeer(address: String): List<ListedInstance>? {
@@ -89,6 +89,9 @@
         const val INTERVAL_PER_INSTANCE_MS = 26L
         const val PEER_TIMEOUT_MS = 1_000L
 
+        // Some seeds or peers may be gone as well.
+        const val MAX_PEERS = 3
+
         // A list that is hardly newer is not worth the change.
         const val MIN_GAIN_MS = 1_000L
     }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.runtime.membership
 
 import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ListedInstance
 
 /**
@@ -25,6 +26,10 @@
     val isAvailable: Boolean
         get() = !listed.leaving && !unreachable && !draining && description?.draining == false
 
+    /** False if [instance] is an earlier process of this name, whose answer came late. */
+    fun isPresent(instance: InstanceId): Boolean =
+        description == null || instance == description.instance || instance == listed.instance
+
     /** True until the first description arrives or fails. */
     val isNew: Boolean get() = description == null && failures == 0
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
@@ -101,7 +101,7 @@
         changeReported(instance) { it.reportedDraining(nowMs) }
 
     private fun changeReported(instance: InstanceId, change: (Member) -> Member): Boolean {
-        val member = find(instance) ?: return false
+        val member = find(instance)?.takeIf { it.isPresent(instance) } ?: return false
         return change(member.listed.instance, change)
     }
 
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/configuration/ConfigurationEditorSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/configuration/ConfigurationEditorSpec.kt
@@ -13,9 +13,9 @@
 import org.jacinthlink.api.Outcome
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
+import org.jacinthlink.decision.configuration.applyChange
 import org.jacinthlink.runtime.daemon.MemoryKeyValue
 import org.jacinthlink.runtime.daemon.TestFleet
-import org.jacinthlink.runtime.daemon.applyForTest
 import org.jacinthlink.runtime.daemon.putClass
 import org.jacinthlink.runtime.daemon.waitUntil
 import org.jacinthlink.runtime.events.eventLog
@@ -30,7 +30,7 @@
         ConfigurationConfirmation(store, peers, { InstanceId("self") }, { emptyList() }) {
             System.currentTimeMillis()
         }
-    val editor = KeyValueConfigurationEditor(keyValue, store, ::applyForTest, confirmation, log)
+    val editor = KeyValueConfigurationEditor(keyValue, store, ::applyChange, confirmation, log)
 
     fun stored(): Configuration = decodeStored(keyValue.current(CONFIGURATION_KEY))!!
 }
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/DaemonShellSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/DaemonShellSpec.kt
@@ -102,8 +102,7 @@
                     DaemonSetup(
                         settings,
                         Role.ENTRY,
-                        { DaemonPlatform(fleet.keyValue, fleet.instanceList) },
-                        ::applyForTest
+                        { DaemonPlatform(fleet.keyValue, fleet.instanceList) }
                     )
                 val failure = startDaemon(setup) { TestLogic() }.shouldBeInstanceOf<Failure>()
                 failure.code shouldBe ResultCode.ADDRESS_IN_USE
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/TestFleet.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/TestFleet.kt
@@ -8,9 +8,7 @@
 import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.jacinthlink.api.Configuration
 import org.jacinthlink.api.ConfigurationChange
-import org.jacinthlink.api.Failure
 import org.jacinthlink.api.Headers
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.InstanceList
@@ -18,9 +16,7 @@
 import org.jacinthlink.api.KeyValueService
 import org.jacinthlink.api.LeaseResult
 import org.jacinthlink.api.ListedInstance
-import org.jacinthlink.api.Outcome
 import org.jacinthlink.api.ReadResult
-import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Role
 import org.jacinthlink.api.Success
 import org.jacinthlink.api.SwapResult
@@ -173,8 +169,7 @@
             DaemonSetup(
                 settings,
                 Role.SIDECAR,
-                { DaemonPlatform(keyValue, instanceList { context }) },
-                ::applyForTest
+                { DaemonPlatform(keyValue, instanceList { context }) }
             )
         val outcome =
             startDaemon(setup) {
@@ -212,23 +207,6 @@
     }
 }
 
-/** Stand-in for the rules of changes: a class without worth is refused. */
-fun applyForTest(document: Configuration, change: ConfigurationChange): Outcome<Configuration> {
-    if (change !is ConfigurationChange.PutClass) {
-        return Failure(ResultCode.CONFIGURATION_INVALID, "not used")
-    }
-    if (change.workClass.worth <= 0) {
-        return Failure(ResultCode.CONFIGURATION_INVALID, "worth: 0 is not in 1..1000")
-    }
-    val classes = document.classes + (change.workClass.name to change.workClass)
-    return Success(
-        document.copy(
-            classes = classes,
-            recentChangeIds = document.recentChangeIds + change.changeId
-        )
-    )
-}
-
 /** Change that puts the class [name]. */
 fun putClass(changeId: String, name: String = changeId, worth: Int = 1) =
     ConfigurationChange.PutClass(changeId, WorkClass(name, targetMs = 750, worth = worth))
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import java.net.ServerSocket
 import org.jacinthlink.runtime.daemon.DaemonShell
 import org.jacinthlink.runtime.daemon.MemoryInstanceList
 import org.jacinthlink.runtime.daemon.TestFleet
@@ -86,11 +87,12 @@
                     a.knows(b) shouldBe true
                 }
             }
-            it("does not keep a process from starting that has a seed") {
+            it("does not keep a process from starting that has a live seed among dead ones") {
                 TestFleet().use { fleet ->
                     val (a, b) = fleet.startListed("node", 2)
                     waitUntil(6_000, "knowledge") { a.knows(b) }
-                    val seeds = listOf(a.address)
+                    val dead = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+                    val seeds = listOf(dead, a.address)
                     val late = fleet.start("late", seeds = seeds, instanceList = downList)
                     waitUntil(6_000, "list from a peer") { late.knows(a) && late.knows(b) }
                 }
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
@@ -102,6 +102,8 @@
                 table.described(A, described("a~1", draining = true), 10, 20)
                 table.described(A, described("a~2"), 30, 40)
                 table.available().single().description.instance shouldBe InstanceId("a~2")
+                table.reportDraining(InstanceId("a~1"), 50) shouldBe false
+                table.available() shouldHaveSize 1
             }
             it("excludes after one refused connection, but only after two silent ones") {
                 val table = table()
