--- a/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
@@ -5,7 +5,9 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -84,11 +86,15 @@
     }
 
     private fun serve(request: Request): Response =
-        if (request.method == Method.POST && request.uri.path == "/control/crash") {
-            crash(request.decode(CrashOrder.serializer()).downMs)
-            silentResponse()
-        } else {
-            handler(request)
+        try {
+            if (request.method == Method.POST && request.uri.path == "/control/crash") {
+                crash(request.decode(CrashOrder.serializer()).downMs)
+                silentResponse()
+            } else {
+                handler(request)
+            }
+        } catch (e: SerializationException) {
+            Response(Status.BAD_REQUEST).body("unreadable request: ${e.message}")
         }
 
     @Synchronized
@@ -128,8 +134,8 @@
 /** An answer that never comes, as if it was lost on the way. */
 internal fun silentResponse(): Response = Response(Status.OK).body(PushBody { })
 
-internal fun <T> Request.decode(serializer: kotlinx.serialization.KSerializer<T>): T =
+internal fun <T> Request.decode(serializer: KSerializer<T>): T =
     ProtocolJson.decodeFromString(serializer, bodyString().ifEmpty { "{}" })
 
-internal fun <T> okJson(serializer: kotlinx.serialization.KSerializer<T>, value: T): Response =
+internal fun <T> okJson(serializer: KSerializer<T>, value: T): Response =
     jsonResponse(Status.OK, ProtocolJson.encodeToString(serializer, value))
