Let a pushed answer be aborted

A stand-in that loses an answer has to give up its exchange at some time without answering; ending the response would deliver an empty answer. abort closes the connection. HttpServerSpec checks that aborted answers and those whose peer went away no longer count as open requests.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/PushSink.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/PushSink.kt
@@ -8,6 +8,9 @@
     /** Ends the response after all queued chunks. */
     fun close()
 
+    /** Closes the connection without ending the response, so that the peer gets no answer. */
+    fun abort()
+
     /** Calls [listener] once if the peer goes away before [close]. */
     fun onDisconnect(listener: () -> Unit)
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowPushSink.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowPushSink.kt
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
+import org.xnio.IoUtils
 
 /**
  * Sink over an Undertow exchange.
@@ -43,6 +44,15 @@
         }
     }
 
+    override fun abort() {
+        onIoThread {
+            closed.set(true)
+            completed.set(true)
+            IoUtils.safeClose(exchange.connection)
+            exchange.endExchange()
+        }
+    }
+
     override fun onDisconnect(listener: () -> Unit) {
         disconnectListener.set(listener)
         if (closed.get() && !completed.get()) fireDisconnect()
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/http/HttpServerSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/http/HttpServerSpec.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.runtime.http
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.longs.shouldBeGreaterThan
@@ -10,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -29,6 +31,7 @@
                             thread { while (sink.send("heartbeat\n")) Thread.sleep(50) }
                         }
                     )
+                "/abort" -> Response(Status.OK).body(PushBody { it.abort() })
                 "/crash" -> error("broken handler")
                 else -> Response(Status.OK).body(request.bodyString())
             }
@@ -73,6 +76,37 @@
             }
         }
 
+        describe("a pushed answer whose connection ends early") {
+            // An exchange that never ends would count against the limit of open requests for good.
+            val small = startHttpServer("127.0.0.1", 0, limits.copy(maxConnections = 2), ::handle)
+            val url = "http://127.0.0.1:${small.port}"
+            afterSpec { small.stop() }
+
+            suspend fun acceptsCalls() =
+                eventually(5.seconds) {
+                    client.call(PeerCall("GET", "$url/ok"), 2_000)
+                        .shouldBeInstanceOf<PeerResult.Answered>()
+                        .status shouldBe 200
+                }
+
+            it("no longer counts as open after the peer went away") {
+                repeat(4) {
+                    val lines = TimedLines()
+                    val call = client.stream(PeerCall("GET", "$url/endless"), 1_000, lines)
+                    lines.first.get(5, TimeUnit.SECONDS)
+                    call.cancel()
+                }
+                acceptsCalls()
+            }
+            it("no longer counts as open after it was aborted, and the caller gets no answer") {
+                repeat(4) {
+                    client.call(PeerCall("GET", "$url/abort"), 2_000)
+                        .shouldBeInstanceOf<PeerResult.Unknown>()
+                }
+                acceptsCalls()
+            }
+        }
+
         describe("a call that fails") {
             it("is not sent when the connection is refused") {
                 val port = ServerSocket(0).use { it.localPort }
