Close connections of lost answers after 130 seconds

A server does not notice that a caller gave up while it writes nothing, so the exchanges of a long outage added up to the limit of open requests and calls were refused after the outage. The limit is higher now, and silent connections are closed once every caller has timed out.

--- a/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
@@ -33,7 +33,11 @@
     private val onCrash: () -> Unit = {},
     private val handler: HttpHandler
 ) : RunningProcess {
-    private val limits = ServerLimits(workerThreads = workerThreads, maxBodyBytes = MAX_BODY_BYTES)
+    private val limits = ServerLimits(
+        workerThreads = workerThreads,
+        maxBodyBytes = MAX_BODY_BYTES,
+        maxConnections = MAX_CONNECTIONS
+    )
     private val stopped = CountDownLatch(1)
     private val timer = daemonTimer("stand-in-timer")
     private var server: HttpServer? = startHttpServer(host, requestedPort, limits, ::serve)
@@ -119,6 +123,8 @@
     }
 
     private companion object {
+        // In an outage, calls without an answer add up.
+        const val MAX_CONNECTIONS = 20_000
         const val MAX_BODY_BYTES = 16_777_216L
         const val CRASH_EXIT_STATUS = 70
         const val REOPEN_ATTEMPTS = 100
@@ -131,8 +137,21 @@
         Thread(task, name).apply { isDaemon = true }
     }
 
-/** An answer that never comes, as if it was lost on the way. */
-internal fun silentResponse(): Response = Response(Status.OK).body(PushBody { })
+/**
+ * An answer that never comes, as if it was lost on the way. The connection is closed in the end,
+ * because the server does not notice that a caller gave up while it writes nothing.
+ */
+internal fun silentResponse(): Response =
+    Response(Status.OK).body(
+        PushBody { sink ->
+            SilenceTimer.schedule(sink::abort, MAX_SILENCE_SECONDS, TimeUnit.SECONDS)
+        }
+    )
+
+private val SilenceTimer = daemonTimer("stand-in-silence")
+
+// Longer than any timeout of a caller.
+private const val MAX_SILENCE_SECONDS = 130L
 
 internal fun <T> Request.decode(serializer: KSerializer<T>): T =
     ProtocolJson.decodeFromString(serializer, bodyString().ifEmpty { "{}" })
