Add the commands of operators, the entry daemon and the stand-ins to the command line

Each daemon command checks its whole settings file and names all faults together. Tried by hand over real processes: a class is set and listed (exit 0), a bad target, an unknown class and a wrong token are refused with their codes (exit 4), faulty settings end with exit 3 and SIGTERM drains the entry.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/Main.kt
@@ -1,5 +1,12 @@
 package org.jacinthlink.cli
 
+import org.jacinthlink.cli.admin.adminCommands
+import org.jacinthlink.cli.daemons.daemonCommands
+import org.jacinthlink.cli.daemons.standInCommands
+import org.jacinthlink.cli.load.LoadCommand
 import org.jacinthlink.cli.measure.MeasureCommand
 
-fun main(args: Array<String>) = runCommandLine(listOf(MeasureCommand(), VersionCommand()), args)
+fun main(args: Array<String>) {
+    val tools = listOf(LoadCommand(), MeasureCommand(), VersionCommand())
+    runCommandLine(daemonCommands() + adminCommands() + tools + standInCommands(), args)
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/daemons/DaemonCommands.kt
@@ -0,0 +1,17 @@
+package org.jacinthlink.cli.daemons
+
+import org.jacinthlink.cli.Command
+import org.jacinthlink.entry.EntrySettings
+import org.jacinthlink.entry.checkEntry
+import org.jacinthlink.entry.startEntry
+
+/** Commands that run the processes of the system. */
+internal fun daemonCommands(): List<Command> =
+    listOf(
+        DaemonCommand(
+            "entry",
+            "Runs an entry",
+            EntrySettings.serializer(),
+            { checkEntry(it) }
+        ) { startEntry(it, stopOnSignal = true) }
+    )
--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminMessages.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminMessages.kt
@@ -9,7 +9,7 @@
 
 /** Body of `PUT /v1/admin/classes/{name}`. */
 @Serializable
-internal data class ClassBody(
+data class ClassBody(
     val name: String? = null,
     val targetMs: Long,
     val tokenGapMs: Long = WorkClass.DEFAULT_TOKEN_GAP_MS,
@@ -18,18 +18,19 @@
 
 /** Answer to an accepted change. */
 @Serializable
-internal data class ChangeAnswer(
+data class ChangeAnswer(
     val revision: Long,
     @SerialName("in_force") val inForce: List<InForce>,
     val missing: List<InstanceId>
 )
 
+/** Revision in force on [instance]. */
 @Serializable
-internal data class InForce(val instance: InstanceId, val revision: Long)
+data class InForce(val instance: InstanceId, val revision: Long)
 
 /** Answer to `GET /v1/admin/status`. */
 @Serializable
-internal data class StatusAnswer(
+data class StatusAnswer(
     val instance: InstanceId,
     val revision: Long,
     val draining: Boolean,
@@ -37,15 +38,16 @@
     val models: List<ModelStatus>
 )
 
+/** Latest description of an instance, and when this entry received it. */
 @Serializable
-internal data class InstanceStatus(
+data class InstanceStatus(
     val description: InstanceDescription,
     @SerialName("described_at_ms") val describedAtMs: Long
 )
 
 /** Plan of one model. [boundTokensPerSecond] is the maximum flow over its stages. */
 @Serializable
-internal data class ModelStatus(
+data class ModelStatus(
     val model: String,
     @SerialName("bound_tokens_per_second") val boundTokensPerSecond: Double,
     val heads: Int,
@@ -55,4 +57,4 @@
 
 /** Answer to `GET /v1/admin/events`. */
 @Serializable
-internal data class EventsAnswer(val events: List<Event>, val missing: List<String>)
+data class EventsAnswer(val events: List<Event>, val missing: List<String>)
