--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -69,6 +69,7 @@
         return when (reply) {
             is CallReply.Answer -> answered(sidecar, reply.answer)
             is CallReply.None -> {
+                directory.failures.failed(sidecar.instance, context.clock.nowMs())
                 failed(sidecar, reply.fate, reply.cause)
                 null
             }
@@ -77,7 +78,10 @@
 
     private fun answered(sidecar: InstanceDescription, answer: CallAnswer): CallEnd? =
         when (answer) {
-            is CallAnswer.Executed -> CallEnd.Answered(answer)
+            is CallAnswer.Executed -> {
+                directory.failures.succeeded(sidecar.instance)
+                CallEnd.Answered(answer)
+            }
             is CallAnswer.Refused -> refused(sidecar, answer)
             is CallAnswer.Unknown -> {
                 failed(sidecar, AttemptFate.UNKNOWN, answer.message)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
@@ -7,6 +7,7 @@
 import org.jacinthlink.decision.claims.claimKey
 import org.jacinthlink.decision.routing.RendezvousHash
 import org.jacinthlink.entry.EntryContext
+import org.jacinthlink.entry.heads.FailureHistory
 import org.jacinthlink.entry.heads.LoadTable
 
 /** Sidecars of plain services. */
@@ -14,6 +15,7 @@
     private val idempotentMethods = ConcurrentHashMap<String, Set<String>>()
 
     val loads = LoadTable()
+    val failures = FailureHistory()
 
     /** Methods of [service] that may be repeated; null if no instance ever offered it. */
     fun idempotentMethods(service: String): Set<String>? {
@@ -33,6 +35,11 @@
      * keyed call, so that sidecars rarely write the same bucket; by least load for others.
      */
     fun ranked(job: CallJob): List<InstanceDescription> {
+        val avoided = failures.avoided(context.clock.nowMs())
+        return preferred(job).sortedBy { it.instance in avoided }
+    }
+
+    private fun preferred(job: CallJob): List<InstanceDescription> {
         val sidecars = sidecars(job.call.service).filter { it.ready }
         val key = job.key ?: return byLoad(sidecars)
         val byInstance = sidecars.associateBy { it.instance }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -79,6 +79,7 @@
         if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) {
             parts.cancel(attempt, job.requestId)
         }
+        if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
         excluded += attempt.head.instance
         record(
@@ -116,6 +117,7 @@
             return onBroken(attempt, AttemptEnd(AttemptFate.RAN, cause))
         }
         leave(attempt)
+        parts.heads.failures.succeeded(attempt.head.instance)
         responder.end(event.reason, tokens.size)
         finish(null)
     }
@@ -148,6 +150,9 @@
         }
     }
 
+    private fun isFaultOfHead(end: AttemptEnd): Boolean =
+        end.refusal == null || end.refusal.code in BROKEN
+
     private fun isRetried(end: AttemptEnd): Boolean =
         RetryRules.mayFollow(ends) &&
             (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
@@ -256,6 +261,13 @@
         // The loss of a head is to be repaired within two seconds.
         const val RESUME_TIME_MS = 2_000L
 
+        val BROKEN =
+            setOf(
+                ResultCode.NO_BACKEND_SERVER,
+                ResultCode.STREAM_FAILED,
+                ResultCode.INTERNAL_ERROR
+            )
+
         // A failed zone leaves the membership within this time, and other heads become known.
         const val MAX_HEAD_WAIT_MS = 2_000L
     }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/heads/HeadDirectory.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/heads/HeadDirectory.kt
@@ -23,6 +23,7 @@
     private var view = FleetView(emptyList(), context.instance, context.availabilityZone)
 
     val loads = LoadTable()
+    val failures = FailureHistory()
 
     fun start() {
         context.membership.addListener { changed.set(true) }
@@ -40,7 +41,11 @@
         if (changed.get()) refresh()
         val heads = view.headsOf(model)
         val candidates = heads.map(::candidate)
-        val chosen = choice.choose(candidates, excluded, nowMs, Random.Default) ?: return null
+        val avoided = excluded + failures.avoided(nowMs)
+        val chosen =
+            choice.choose(candidates, avoided, nowMs, Random.Default)
+                ?: choice.choose(candidates, excluded, nowMs, Random.Default)
+                ?: return null
         prober.probeOldest(heads.filter { it.instance !in excluded }, nowMs)
         return heads.first { it.instance == chosen.instance }
     }
--- a/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -105,6 +105,20 @@
                 }
             }
 
+            // Guards against a head that breaks each request and draws more, because it looks idle.
+            it("avoids a head that keeps failing") {
+                fixture {
+                    var broken = 0
+                    head("h1") { _, sink ->
+                        broken++
+                        sink.close()
+                    }
+                    head("h2", ::resume)
+                    repeat(30) { post(CHAT, BODY).status shouldBe 200 }
+                    broken shouldBeLessThan 6
+                }
+            }
+
             // Guards against a refusal that claims "not run" although an attempt ran, and against
             // a true one that is not said.
             it("is refused as not run only if no attempt can have run") {
