Keep errors between entry and sidecar from the caller

A sidecar that changed its role or refused the peer token made the entry answer 404 or 401 to its caller. Such refusals now lead to another attempt and count as an unavailable backend server. A cancel order is not sent to a head that already runs the next attempt, because heads cancel all attempts of a request. Calls state when they were sent, so that a sidecar that was frozen can refuse them.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -220,6 +220,11 @@
         val CONCLUSIVE =
             setOf(ResultCode.CANCELLED_BEFORE_RUN, ResultCode.IDEMPOTENCY_KEY_REUSED)
         val RETRYABLE =
-            FULL + setOf(ResultCode.DRAINING, ResultCode.NO_BACKEND_SERVER)
+            FULL +
+                setOf(
+                    ResultCode.DRAINING,
+                    ResultCode.NO_BACKEND_SERVER,
+                    ResultCode.UNKNOWN_SERVICE
+                )
     }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallTransport.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallTransport.kt
@@ -26,7 +26,14 @@
 /** Sends plain calls and cancellations to sidecars. */
 internal class CallTransport(private val context: EntryContext) {
     fun call(to: InstanceDescription, call: CallRequest, timeoutMs: Long, fresh: Boolean) =
-        send(to, "/v1/calls", CallRequest.serializer(), call, timeoutMs, fresh)
+        send(
+            to,
+            "/v1/calls",
+            CallRequest.serializer(),
+            call.copy(sentAtMs = context.clock.nowMs()),
+            timeoutMs,
+            fresh
+        )
 
     fun cancel(to: InstanceDescription, cancel: CallCancel, timeoutMs: Long) =
         send(to, "/v1/calls/cancel", CallCancel.serializer(), cancel, timeoutMs, fresh = true)
@@ -66,11 +73,17 @@
 
     private fun readError(body: String): CallReply {
         val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), body).error
-        val code = ResultCode.entries.firstOrNull { it.number == error.code }
-        return if (error.notRun && code != null && code.notRun) {
-            CallReply.Answer(CallAnswer.Refused(code, error.message))
-        } else {
-            CallReply.None(AttemptFate.UNKNOWN, "${error.name}: ${error.message}")
-        }
+        val message = "${error.name}: ${error.message}"
+        if (!error.notRun) return CallReply.None(AttemptFate.UNKNOWN, message)
+        val code = PASSED_ON.firstOrNull { it.number == error.code }
+        return CallReply.Answer(
+            CallAnswer.Refused(code ?: ResultCode.NO_BACKEND_SERVER, message)
+        )
+    }
+
+    private companion object {
+        // Other errors of the HTTP exchange concern the entry and not its caller.
+        val PASSED_ON =
+            setOf(ResultCode.OVERLOADED, ResultCode.DRAINING, ResultCode.BODY_TOO_LARGE)
     }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
@@ -68,11 +68,16 @@
     private fun refusal(line: String): StreamEvent.Refused {
         val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), line).error
         val code =
-            ResultCode.entries.firstOrNull { it.number == error.code } ?: ResultCode.INTERNAL_ERROR
-        return StreamEvent.Refused(code, error.message, error.notRun)
+            PASSED_ON.firstOrNull { it.number == error.code }
+                ?: if (error.notRun) ResultCode.NO_BACKEND_SERVER else ResultCode.STREAM_FAILED
+        return StreamEvent.Refused(code, "${error.name}: ${error.message}", error.notRun)
     }
 
     private companion object {
         const val OK = 200
+
+        // Other errors of the HTTP exchange concern the entry and not its caller.
+        val PASSED_ON =
+            setOf(ResultCode.OVERLOADED, ResultCode.DRAINING, ResultCode.BODY_TOO_LARGE)
     }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -76,9 +76,7 @@
             context.membership.reportUnreachable(attempt.head.instance)
         }
         leave(attempt)
-        if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) {
-            parts.cancel(attempt, job.requestId)
-        }
+        attempt.call?.cancel()
         if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
         excluded += attempt.head.instance
@@ -91,6 +89,14 @@
             "cause" to end.cause
         )
         if (isRetried(end)) dispatch() else fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+        if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) cancel(attempt)
+    }
+
+    // A head cancels all attempts of a request, so a new one at the same head must not be hit.
+    private fun cancel(attempt: ChatAttempt) {
+        if (this.attempt?.head?.instance != attempt.head.instance) {
+            parts.cancel(attempt, job.requestId)
+        }
     }
 
     private fun token(attempt: ChatAttempt, event: StreamEvent.Token) {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
@@ -25,6 +25,7 @@
             setOf(
                 ResultCode.NO_BACKEND_SERVER,
                 ResultCode.DRAINING,
+                ResultCode.UNKNOWN_MODEL,
                 ResultCode.STREAM_FAILED,
                 ResultCode.INTERNAL_ERROR
             )
