--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
@@ -34,6 +34,17 @@
     val isNew: Boolean get() = description == null && failures == 0
 }
 
+/** The instance as [Membership] shows it; null without a description. */
+internal fun Member.known(): KnownInstance? = description?.let { KnownInstance(it, describedAtMs) }
+
+/**
+ * What listeners are told of; null while no work may go to the instance.
+ *
+ * Load changes all the time and is read when it is needed.
+ */
+internal fun Member.shown(): InstanceDescription? =
+    description?.takeIf { isAvailable }?.copy(load = null, configurationRevision = 0)
+
 /** Takes a description that was asked for at [askedAtMs]. */
 internal fun Member.described(
     answer: InstanceDescription,
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
@@ -13,7 +13,7 @@
 ) {
     private val steadyBucket = TokenBucket(rates.steadyPerSecond)
     private val newBucket = TokenBucket(rates.newPerSecond)
-    private var members: Map<InstanceId, Member> = emptyMap()
+    private val members = LinkedHashMap<InstanceId, Member>()
 
     @Volatile
     private var available: List<KnownInstance> = emptyList()
@@ -32,12 +32,19 @@
 
     /** Replaces the list. Returns true if the available instances changed. */
     @Synchronized
-    fun applyList(list: List<ListedInstance>): Boolean = update {
-        list.associate { listed ->
-            val known = members[listed.instance]?.takeIf { it.listed.address == listed.address }
-            val member = (known ?: Member(listed)).copy(listed = listed)
-            listed.instance to if (interest(listed)) member else member.copy(description = null)
-        }
+    fun applyList(list: List<ListedInstance>): Boolean {
+        val next = list.associate { it.instance to relisted(it) }
+        val before = members.values.mapNotNull { it.shown() }
+        members.clear()
+        members += next
+        publish()
+        return before != members.values.mapNotNull { it.shown() }
+    }
+
+    private fun relisted(listed: ListedInstance): Member {
+        val known = members[listed.instance]?.takeIf { it.listed.address == listed.address }
+        val member = (known ?: Member(listed)).copy(listed = listed)
+        return if (interest(listed)) member else member.copy(description = null)
     }
 
     /** Picks the members to describe now, the longest due first, and marks them. */
@@ -52,7 +59,7 @@
         val taken =
             new.take(newBucket.take(new.size, nowMs)) +
                 old.take(steadyBucket.take(old.size, nowMs))
-        members = members + taken.associate { it.listed.instance to it.copy(describing = true) }
+        taken.forEach { members[it.listed.instance] = it.copy(describing = true) }
         return taken.map { it.listed }
     }
 
@@ -110,23 +117,18 @@
             ?: members[InstanceId(instance.value.substringBeforeLast(INCARNATION_SEPARATOR))]
 
     private fun change(listed: InstanceId, change: (Member) -> Member): Boolean {
-        val member = members[listed] ?: return false
-        return update { members + (listed to change(member)) }
+        val before = members[listed] ?: return false
+        val after = change(before)
+        members[listed] = after
+        publish()
+        // Comparing this member only keeps the cost of a description low among hundreds.
+        return before.shown() != after.shown()
     }
 
-    private fun update(next: () -> Map<InstanceId, Member>): Boolean {
-        members = next()
-        val before = available
-        available = members.values.filter { it.isAvailable }.map(::known)
-        return available.map(::stableParts) != before.map(::stableParts)
+    private fun publish() {
+        available = members.values.filter { it.isAvailable }.map { it.known()!! }
     }
 
-    private fun known(member: Member) = KnownInstance(member.description!!, member.describedAtMs)
-
-    /** What listeners are told of; load changes all the time and is read when needed. */
-    private fun stableParts(known: KnownInstance) =
-        known.description.copy(load = null, configurationRevision = 0)
-
     private fun jittered(delayMs: Long): Long = (delayMs * random.nextDouble(0.8, 1.2)).toLong()
 
     private companion object {
