Answer control requests in a flood of slow calls

A refused connection closed the idle connections to all other peers. An empty instance list at the start of a site counted as read.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -36,6 +36,10 @@
         return shell.withAnswerHeaders(response, fromPeer)
     }
 
+    /** True if requests for [path] must be answered in a flood of others. */
+    fun isControl(path: String): Boolean =
+        path in OPEN_PATHS || common(path) != null || shell.logic.isControl(path)
+
     private fun route(request: Request, fromPeer: Boolean): Response {
         val path = request.uri.path
         if (fromPeer) shell.protocol.observe(request, shell.sync)
@@ -106,6 +110,8 @@
     }
 }
 
+private val OPEN_PATHS = setOf("/health", "/metrics")
+
 /** JSON of [description]. */
 internal fun encodeDescription(description: InstanceDescription): String =
     ProtocolJson.encodeToString(InstanceDescription.serializer(), description)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonLogic.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonLogic.kt
@@ -12,6 +12,12 @@
     /** True if callers reach [path] without the peer token, because [handler] checks them. */
     fun isOpen(path: String): Boolean = false
 
+    /**
+     * True if [path] is served on threads of its own, so that a flood of other requests does not
+     * delay it. Its handler must return at once.
+     */
+    fun isControl(path: String): Boolean = false
+
     /** What `GET /v1/describe` tells of this daemon. */
     fun state(): DaemonState
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -89,7 +89,13 @@
         logic = makeLogic(this)
         val endpoints = DaemonEndpoints(this)
         val started =
-            startHttpServer(settings.host, settings.port, setup.limits, endpoints::handle)
+            startHttpServer(
+                settings.host,
+                settings.port,
+                setup.limits,
+                endpoints::isControl,
+                endpoints::handle
+            )
         server = started
         listening.countDown()
         bindDaemonMeters(meters, this, logic, started)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -40,9 +40,11 @@
         return try {
             client.newCall(request(call, sent)).execute().use(::answered)
         } catch (e: IOException) {
-            // Other idle connections to the peer may be as silent as this one.
-            pooled.connectionPool.evictAll()
-            sent.failure(e)
+            val failure = sent.failure(e)
+            // Other idle connections to the peer may be as silent as this one. A refused connection
+            // says nothing about them, and closing them for it would cost all other peers theirs.
+            if (failure is PeerResult.Unknown) pooled.connectionPool.evictAll()
+            failure
         }
     }
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -16,8 +16,11 @@
 import org.jacinthlink.api.ResultCode
 
 /** Runs an http4k handler on Undertow's workers; a [PushBody] continues without a thread. */
-internal class UndertowHandler(private val handler: HttpHandler, private val limits: ServerLimits) :
-    io.undertow.server.HttpHandler {
+internal class UndertowHandler(
+    private val handler: HttpHandler,
+    private val limits: ServerLimits,
+    private val controlLane: ControlLane
+) : io.undertow.server.HttpHandler {
     private val openExchanges = AtomicInteger()
 
     override fun handleRequest(exchange: HttpServerExchange) {
@@ -29,7 +32,12 @@
         val receiver = exchange.requestReceiver
         receiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
         receiver.receiveFullBytes(
-            { received, body -> received.dispatch(Runnable { serve(received, body) }) },
+            { received, body ->
+                received.dispatch(
+                    controlLane.executorFor(received.requestPath),
+                    Runnable { serve(received, body) }
+                )
+            },
             { failed, cause -> failed.dispatch(Runnable { serveReadFailure(failed, cause) }) }
         )
     }
@@ -70,7 +78,10 @@
     }
 
     private fun respond(exchange: HttpServerExchange, body: ByteArray): Response =
-        if (openExchanges.get() > limits.maxConnections) {
+        if (
+            openExchanges.get() > limits.maxConnections &&
+            controlLane.executorFor(exchange.requestPath) == null
+        ) {
             errorResponse(ResultCode.OVERLOADED, "too many open requests")
         } else {
             handleSafely(exchange, body)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowServer.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowServer.kt
@@ -11,7 +11,17 @@
     port: Int,
     limits: ServerLimits,
     handler: HttpHandler
+): HttpServer = startHttpServer(host, port, limits, { false }, handler)
+
+/** Starts a server that keeps threads free for the paths that are [isControl]. */
+internal fun startHttpServer(
+    host: String,
+    port: Int,
+    limits: ServerLimits,
+    isControl: (path: String) -> Boolean,
+    handler: HttpHandler
 ): HttpServer {
+    val lane = ControlLane(isControl)
     val undertow =
         Undertow.builder()
             .addHttpListener(port, host)
@@ -21,15 +31,21 @@
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.requestTimeoutMs)
             .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_TIMEOUT_MS)
-            .setHandler(UndertowHandler(handler, limits))
+            .setHandler(UndertowHandler(handler, limits, lane))
             .build()
-    undertow.start()
-    return UndertowServer(undertow)
+    try {
+        undertow.start()
+    } catch (e: RuntimeException) {
+        lane.stop()
+        throw e
+    }
+    return UndertowServer(undertow, lane)
 }
 
 private const val IDLE_CONNECTION_TIMEOUT_MS = 60_000
 
-private class UndertowServer(private val undertow: Undertow) : HttpServer {
+private class UndertowServer(private val undertow: Undertow, private val lane: ControlLane) :
+    HttpServer {
     override val port: Int =
         (undertow.listenerInfo.first().address as InetSocketAddress).port
 
@@ -39,5 +55,8 @@
                 HttpTraffic(requestCount, bytesReceived, bytesSent)
             }
 
-    override fun stop() = undertow.stop()
+    override fun stop() {
+        undertow.stop()
+        lane.stop()
+    }
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
@@ -21,6 +21,7 @@
     private val random: Random
 ) {
     private var failures = 0
+    private var wasEmpty = false
 
     @Volatile
     private var readAtMs: Long? = null
@@ -33,12 +34,7 @@
         when (val result = platform.read()) {
             is InstanceListResult.Unavailable -> failed(result.message, peers)
             is InstanceListResult.Listed ->
-                // A platform that forgot every instance must not empty the routing tables.
-                if (result.instances.isEmpty() && readAtMs != null) {
-                    failed("the list is empty", peers)
-                } else {
-                    succeeded(result.instances)
-                }
+                if (result.instances.isEmpty()) empty(peers) else succeeded(result.instances)
         }
 
     /** Pause until the next read of a list of [count] instances. */
@@ -49,9 +45,21 @@
             maxOf(MIN_INTERVAL_MS, count * INTERVAL_PER_INSTANCE_MS)
         }
 
+    /**
+     * A platform that forgot every instance must not empty the routing tables. No back-off applies:
+     * the list of a site that is just being started fills at any moment.
+     */
+    private fun empty(peers: List<String>): List<ListedInstance>? {
+        if (!wasEmpty) eventLog.record("instance_list_empty")
+        failures = 0
+        wasEmpty = true
+        return askPeers(peers)
+    }
+
     private fun succeeded(instances: List<ListedInstance>): List<ListedInstance> {
         if (failures > 0) eventLog.record("instance_list_back", null, "failures" to failures)
         failures = 0
+        wasEmpty = false
         readAtMs = clock.nowMs()
         return instances
     }
@@ -59,9 +67,12 @@
     private fun failed(message: String, peers: List<String>): List<ListedInstance>? {
         failures++
         if (failures == 1) eventLog.record("instance_list_down", null, "error" to message)
-        return peers.shuffled(random).take(MAX_PEERS).firstNotNullOfOrNull(::askPeer)
+        return askPeers(peers)
     }
 
+    private fun askPeers(peers: List<String>): List<ListedInstance>? =
+        peers.shuffled(random).take(MAX_PEERS).firstNotNullOfOrNull(::askPeer)
+
     private fun askPeer(address: String): List<ListedInstance>? {
         val call = PeerCall("GET", "http://$address/v1/instances")
         val answer = client.call(call, PEER_TIMEOUT_MS) as? PeerResult.Answered ?: return null
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/DaemonShellSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/DaemonShellSpec.kt
@@ -7,6 +7,8 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -16,8 +18,10 @@
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Role
+import org.jacinthlink.runtime.http.LineListener
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.runtime.http.ServerLimits
 import org.jacinthlink.runtime.http.headerValue
 import org.jacinthlink.runtime.http.peerClient
 
@@ -93,6 +97,27 @@
             }
         }
 
+        describe("a daemon whose worker threads are all busy") {
+            it("still answers the platform and its peers, which would exclude it otherwise") {
+                val release = CountDownLatch(1)
+                val logic =
+                    TestLogic({
+                        release.await(20, TimeUnit.SECONDS)
+                        Response(Status.OK)
+                    })
+                val shell = fleet.start("busy", logic)
+                val count = ServerLimits().workerThreads + 6
+                val call = PeerCall("GET", "http://${shell.address}/open/slow")
+                val calls = (1..count).map { stranger.stream(call, 2_000, IgnoringListener()) }
+                Thread.sleep(500)
+                statusFor(shell.address, "/health", emptyMap()) shouldBe 200
+                fleet.get(shell.address, "/v1/describe").status shouldBe 200
+                fleet.get(shell.address, "/v1/config").status shouldBe 200
+                release.countDown()
+                calls.forEach { it.cancel() }
+            }
+        }
+
         describe("a port in use") {
             it("is a failure with its code, and nothing stays behind") {
                 val first = fleet.start("port")
@@ -136,6 +161,14 @@
         }
     })
 
+private class IgnoringListener : LineListener {
+    override fun onLine(line: String) = Unit
+
+    override fun onEnd() = Unit
+
+    override fun onFailure(result: PeerResult) = Unit
+}
+
 private fun clockOf(answer: PeerResult.Answered): Long =
     answer.headers.headerValue(Headers.CLOCK)!!.toLong()
 
