Serve models whose stages are spread over several sidecars

Cause: no process ran a model's layers, queued requests or moved activations between sidecars.

Change: module sidecar gets the stage runner (batch loop, cursors, retained outputs, outboxes for the next stages and for the head), the head (admission, fair queue, routes by flow, token feed, heartbeats, watchdog), failover by reroute and replay, the engine guard, and the process assembly. ReleaseStreams now frees one stage only: the head tells each stage itself, so a dead stage in between keeps no state of later ones alive.

--- a/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
@@ -14,6 +14,7 @@
  * @property route The stages that remain, the receiver first.
  * @property headAddress Where sampled tokens go.
  * @property replay True when the items rebuild a replaced stage.
+ * @property isolated True when the stream must run without others in a step of the engine.
  */
 @Serializable
 data class HopItem(
@@ -23,7 +24,8 @@
     val payloads: List<String>,
     val route: List<RouteStage>,
     val headAddress: String,
-    val replay: Boolean = false
+    val replay: Boolean = false,
+    val isolated: Boolean = false
 )
 
 /** One stage of a route. */
--- a/api/src/main/kotlin/org/jacinthlink/api/StageFault.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/StageFault.kt
@@ -25,6 +25,6 @@
 @Serializable
 data class Reroute(val stream: StreamKey, val epoch: Int, val route: List<RouteStage>)
 
-/** Frees all state of [streams] on a stage and on those behind it (`POST /v1/release`). */
+/** Frees all state of [streams] on the receiving stage (`POST /v1/release`). */
 @Serializable
 data class ReleaseStreams(val streams: List<StreamKey>)
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -0,0 +1,88 @@
+package org.jacinthlink.sidecar.stage
+
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.LoadReport
+import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.decision.routing.Admission
+import org.jacinthlink.decision.routing.AdmissionDecision
+import org.jacinthlink.decision.routing.FairQueue
+
+/** Queued and running streams of a head. Not safe for use by several threads. */
+internal class HeadRegistry(
+    private val queue: FairQueue,
+    private val admission: Admission,
+    private val rate: ServiceRate,
+    val bound: RunningBound
+) {
+    private val queued = LinkedHashMap<StreamKey, HeadStream>()
+    private val running = LinkedHashMap<StreamKey, HeadStream>()
+
+    val queuedCount: Int get() = queued.size
+    val runningCount: Int get() = running.size
+    val all: List<HeadStream> get() = queued.values + running.values
+    val runningStreams: List<HeadStream> get() = running.values.toList()
+
+    fun find(key: StreamKey): HeadStream? = running[key] ?: queued[key]
+
+    fun findRunning(key: StreamKey): HeadStream? = running[key]
+
+    fun findAll(request: RequestId): List<HeadStream> =
+        all.filter { it.key.requestId == request }
+
+    /** Streams in execution that use [stage]. */
+    fun countOn(stage: InstanceId): Int =
+        running.values.count { stream -> stream.route.any { it.instance == stage } }
+
+    /** Puts [stream] into the queue, if admission allows it. */
+    fun offer(stream: HeadStream, nowMs: Long): AdmissionDecision {
+        val decision =
+            admission.decide(queue, stream.request, rate.tokensPerSecond, rate.firstTokenMs, nowMs)
+        if (decision == AdmissionDecision.Admitted) {
+            queue.offer(stream.request)
+            queued[stream.key] = stream
+        }
+        return decision
+    }
+
+    /** Moves the next queued stream into execution, if another one may run. */
+    fun startNext(tokensPerSecond: Double, nowMs: Long): HeadStream? {
+        if (running.size >= bound.streams(tokensPerSecond)) return null
+        val request = queue.poll(nowMs) ?: return null
+        val stream = queued.remove(request.id) ?: return null
+        rate.onStarted(request.costTokens)
+        stream.startedAtMs = nowMs
+        stream.progressAtMs = nowMs
+        running[stream.key] = stream
+        return stream
+    }
+
+    fun onToken(stream: HeadStream, text: String, nowMs: Long) {
+        stream.addToken(text, nowMs)
+        queue.charge(stream.request, 1)
+        if (stream.tokens.size == stream.open.emittedTokens.size + 1) {
+            rate.onFirstToken(nowMs - stream.startedAtMs)
+        } else {
+            bound.onTokenGap(stream.gapMs)
+        }
+    }
+
+    fun remove(key: StreamKey): HeadStream? {
+        if (queued.remove(key)?.also { queue.remove(key) } != null) return null
+        return running.remove(key)
+    }
+
+    /** Removes and returns the queued streams whose deadline has passed. */
+    fun takeExpired(nowMs: Long): List<HeadStream> =
+        queue.takeExpired(nowMs).mapNotNull { queued.remove(it.id) }
+
+    fun update(classes: Map<String, WorkClass>) = queue.update(classes)
+
+    fun updateRate(nowMs: Long) = rate.update(queued.size, nowMs)
+
+    fun load(nowMs: Long): LoadReport {
+        val waitMs = queue.waitingTokens * 1_000.0 / rate.tokensPerSecond
+        return LoadReport(queued.size, running.size, waitMs + rate.firstTokenMs, nowMs)
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -0,0 +1,98 @@
+package org.jacinthlink.sidecar.stage
+
+import org.jacinthlink.api.HopItem
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.RouteStage
+import org.jacinthlink.api.StreamEvent
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.StreamOpen
+import org.jacinthlink.decision.routing.FlowStage
+import org.jacinthlink.decision.routing.QueuedRequest
+import org.jacinthlink.runtime.http.PushSink
+
+/** One stream at its head, from its admission to its end. Guarded by its [Head]. */
+internal class HeadStream(
+    val open: StreamOpen,
+    val request: QueuedRequest,
+    private val sink: PushSink
+) {
+    val key: StreamKey get() = open.stream
+    val tokens = open.emittedTokens.toMutableList()
+    var route: List<FlowStage> = emptyList()
+        private set
+    var epoch = 0
+        private set
+
+    /** Addresses of all stages that may hold state of this stream. */
+    val visited = LinkedHashMap<InstanceId, String>()
+    val failed = HashSet<InstanceId>()
+    var isFailingOver = false
+    var startedAtMs = 0L
+
+    /** Time of the latest token, or of the latest change of the route. */
+    var progressAtMs = 0L
+    var lineSentAtMs = 0L
+    var probes = 0
+
+    /** Smoothed time between two tokens; 0 before the second token. */
+    var gapMs = 0.0
+        private set
+
+    /** Position of the next token that is sampled. */
+    val nextPosition: Int get() = open.promptTokens.size + tokens.size
+
+    fun takeRoute(newRoute: List<FlowStage>) {
+        route = newRoute
+        epoch++
+        newRoute.forEach { visited[it.instance] = it.address }
+    }
+
+    fun addToken(text: String, nowMs: Long) {
+        if (tokens.size > open.emittedTokens.size) {
+            val gap = (nowMs - progressAtMs).toDouble()
+            gapMs = if (gapMs == 0.0) gap else gapMs + GAP_WEIGHT * (gap - gapMs)
+        }
+        tokens += text
+        progressAtMs = nowMs
+        probes = 0
+    }
+
+    fun send(event: StreamEvent, nowMs: Long): Boolean {
+        lineSentAtMs = nowMs
+        return sink.send(ProtocolJson.encodeToString(StreamEvent.serializer(), event) + "\n")
+    }
+
+    fun close() = sink.close()
+
+    /** The prompt and the tokens of earlier attempts, as input of the first stage. */
+    fun prefill(headAddress: String): HopItem =
+        item(headAddress, 0, open.promptTokens + open.emittedTokens)
+
+    /** The latest token, as input of the first stage. */
+    fun latest(headAddress: String): HopItem =
+        if (tokens.size == open.emittedTokens.size) {
+            prefill(headAddress)
+        } else {
+            item(headAddress, nextPosition - 1, listOf(tokens.last()))
+        }
+
+    private fun item(headAddress: String, firstPosition: Int, payloads: List<String>) =
+        HopItem(
+            stream = key,
+            epoch = epoch,
+            firstPosition = firstPosition,
+            payloads = payloads,
+            route = route.map { it.toRouteStage() },
+            headAddress = headAddress,
+            isolated = open.isolated
+        )
+
+    private companion object {
+        const val GAP_WEIGHT = 0.2
+    }
+}
+
+/** This stage as messages name it. */
+internal fun FlowStage.toRouteStage(): RouteStage =
+    RouteStage(instance, address, holding.firstLayer, holding.endLayer)
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/PeerReply.kt
@@ -0,0 +1,10 @@
+package org.jacinthlink.sidecar.stage
+
+/** Result of a message to another process, after its retry. */
+internal sealed interface PeerReply<out T> {
+    /** The peer answered. */
+    data class Answered<out T>(val value: T) : PeerReply<T>
+
+    /** The peer refused the message or did not answer. */
+    data class Failed(val message: String) : PeerReply<Nothing>
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RunningBound.kt
@@ -0,0 +1,36 @@
+package org.jacinthlink.sidecar.stage
+
+import kotlin.math.ceil
+
+/**
+ * Number of streams that run at the same time.
+ *
+ * It is the product of the throughput of the route and the shortest time between two tokens that
+ * was seen, with some reserve: with fewer the stages idle, with more each stream only waits longer
+ * between its tokens.
+ */
+internal class RunningBound(private val fixed: Int?, private val tokenGapMs: Double) {
+    private var shortestGapMs = Double.POSITIVE_INFINITY
+
+    fun onTokenGap(gapMs: Double) {
+        if (gapMs > 0) shortestGapMs = minOf(shortestGapMs, gapMs)
+    }
+
+    /** Forgets the times of the former stages. */
+    fun reset() {
+        shortestGapMs = Double.POSITIVE_INFINITY
+    }
+
+    fun streams(tokensPerSecond: Double): Int {
+        if (fixed != null) return fixed
+        val observedMs = if (shortestGapMs.isFinite()) shortestGapMs * RESERVE else 0.0
+        val gapMs = maxOf(tokenGapMs * RESERVE, observedMs)
+        return ceil(tokensPerSecond * gapMs / 1_000).toInt().coerceIn(MIN_STREAMS, MAX_STREAMS)
+    }
+
+    private companion object {
+        const val RESERVE = 1.5
+        const val MIN_STREAMS = 4
+        const val MAX_STREAMS = 1_024
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -0,0 +1,137 @@
+package org.jacinthlink.sidecar.stage
+
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+import org.http4k.core.HttpHandler
+import org.jacinthlink.api.LoadReport
+import org.jacinthlink.api.RouteStage
+import org.jacinthlink.decision.routing.FlowStage
+import org.jacinthlink.decision.routing.admission
+import org.jacinthlink.decision.routing.fairQueue
+
+/** The stage of one sidecar, and the head of its pipelines if it holds the first layers. */
+internal class StageDaemon(
+    private val parts: StageParts,
+    private val runner: StageRunner,
+    private val engine: EngineGuard,
+    private val head: StageHead?
+) {
+    val handler: HttpHandler = stageRoutes(runner, head?.head)
+
+    val ready: Boolean get() = engine.ready
+
+    /** Starts the batch loop and the timers. */
+    fun start() {
+        parts.scope.run("batch-loop", runner::runLoop)
+        parts.scope.repeat("idle-streams", { parts.stageLimits.idleStreamMs / 4 }) {
+            runner.releaseIdle(parts.clock.nowMs())
+        }
+        val head = head ?: return
+        parts.scope.repeat("head", { TICK_MS }) { head.head.tick(parts.clock.nowMs()) }
+        parts.scope.repeat("watchdog", { TICK_MS }) { head.watchdog.tick(parts.clock.nowMs()) }
+    }
+
+    fun drain() {
+        head?.head?.drain()
+    }
+
+    fun load(): LoadReport =
+        head?.head?.load()
+            ?: LoadReport(
+                runningStreams = runner.streamCount,
+                reportedAtMs = parts.clock.nowMs()
+            )
+
+    fun openWork(): Int = maxOf(head?.head?.openStreams ?: 0, runner.streamCount)
+
+    private companion object {
+        const val TICK_MS = 50L
+    }
+}
+
+/** A head and its watchdog. */
+internal class StageHead(val head: Head, val watchdog: Watchdog)
+
+/** Assembles a stage; [StageDaemon.start] sets it to work. */
+internal fun stageDaemon(parts: StageParts): StageDaemon {
+    val executor = workers(parts)
+    val holding = parts.holding
+    val engine = EngineGuard(parts.engine, parts.loadEngine, parts.clock, parts.events)
+    val peers = StagePeers(parts.client, parts.stageLimits.acknowledgeTimeoutMs)
+    val self = RouteStage(parts.instance, parts.address, holding.firstLayer, holding.endLayer)
+    val runner =
+        StageRunner(self, engine, peers, executor, parts.clock, parts.events, parts.stageLimits)
+    val head =
+        if (holding.isHead) stageHead(parts, engine, runner, peers, executor) else null
+    return StageDaemon(parts, runner, engine, head)
+}
+
+private fun stageHead(
+    parts: StageParts,
+    engine: EngineGuard,
+    runner: StageRunner,
+    peers: StagePeers,
+    executor: ExecutorService
+): StageHead {
+    val self =
+        FlowStage(parts.instance, parts.address, parts.availabilityZone, parts.holding)
+    val head =
+        Head(
+            self = self,
+            registry = registry(parts),
+            routes = RouteBook(self, parts.membership),
+            runner = runner,
+            releases = ReleaseOutbox(peers, executor),
+            executor = executor,
+            clock = parts.clock,
+            events = parts.events,
+            limits = parts.headLimits
+        )
+    val rerouter = Rerouter(runner, peers)
+    val failover =
+        Failover(head, parts.instance, rerouter, executor, parts.clock, parts.events)
+    val watchdog =
+        Watchdog(
+            head,
+            parts.instance,
+            runner,
+            peers,
+            failover,
+            parts.membership,
+            executor,
+            parts.events,
+            parts.headLimits
+        )
+    runner.localHead = head
+    head.ready = engine::ready
+    head.onStagesFailed = { key, stages ->
+        stages.forEach(parts.membership::reportUnreachable)
+        failover.begin(key, stages)
+    }
+    parts.membership.addListener(head::routesChanged)
+    parts.configuration.addListener { head.classesChanged(it.classes) }
+    return StageHead(head, watchdog)
+}
+
+private fun registry(parts: StageParts): HeadRegistry {
+    val classes = parts.configuration.current.classes
+    val tokenGapMs = classes.values.minOfOrNull { it.tokenGapMs } ?: DEFAULT_TOKEN_GAP_MS
+    return HeadRegistry(
+        fairQueue(classes),
+        admission(),
+        // Until it is measured: a prompt takes about half of the tokens of a request.
+        ServiceRate(parts.holding.tokensPerSecond / 2),
+        RunningBound(parts.headLimits.maxRunningStreams, tokenGapMs.toDouble())
+    )
+}
+
+private fun workers(parts: StageParts): ExecutorService {
+    val executor =
+        Executors.newCachedThreadPool { task ->
+            Thread(task, "stage-worker").apply { isDaemon = true }
+        }
+    parts.scope.onClose { executor.shutdownNow() }
+    return executor
+}
+
+private const val DEFAULT_TOKEN_GAP_MS = 35L
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -0,0 +1,267 @@
+package org.jacinthlink.sidecar.stage
+
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import org.jacinthlink.api.EngineInput
+import org.jacinthlink.api.EngineOutput
+import org.jacinthlink.api.EngineResult
+import org.jacinthlink.api.HopAck
+import org.jacinthlink.api.HopAckItem
+import org.jacinthlink.api.HopBatch
+import org.jacinthlink.api.HopStatus
+import org.jacinthlink.api.Reroute
+import org.jacinthlink.api.RerouteStatus
+import org.jacinthlink.api.RouteStage
+import org.jacinthlink.api.SampledToken
+import org.jacinthlink.api.StageFault
+import org.jacinthlink.api.StageProgress
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.TokenBatch
+import org.jacinthlink.runtime.Clock
+import org.jacinthlink.runtime.events.EventLog
+
+/**
+ * Runs the streams of one stage: inbox, batch loop over the engine, and one outbox for each next
+ * stage and each head.
+ *
+ * The lock is never held while the engine, a peer or the local head is called.
+ */
+internal class StageRunner(
+    private val self: RouteStage,
+    private val engine: EngineGuard,
+    private val peers: StagePeers,
+    private val executor: ExecutorService,
+    private val clock: Clock,
+    private val events: EventLog,
+    private val limits: StageLimits = StageLimits()
+) {
+    private val lock = ReentrantLock()
+    private val inputsReady = lock.newCondition()
+    private val state = StageState(self, limits)
+    private val inFlight = HashMap<String, Int>()
+
+    /** Head of the streams that start here. Set once, before the first message. */
+    @Volatile
+    var localHead: StreamHead? = null
+
+    val streamCount: Int get() = lock.withLock { state.streamCount }
+
+    /** Takes a message from the stage before, or from the head on this process. */
+    fun receive(batch: HopBatch): HopAck {
+        if (!engine.ready) {
+            return HopAck(batch.items.map { HopAckItem(it.stream, HopStatus.WRONG_LAYERS, 0) })
+        }
+        val nowMs = clock.nowMs()
+        val answers =
+            lock.withLock {
+                batch.items.map { state.receive(it, nowMs) }.also { inputsReady.signal() }
+            }
+        sendReady()
+        return HopAck(answers)
+    }
+
+    fun reroute(order: Reroute): RerouteStatus {
+        val status = lock.withLock { state.reroute(order) }
+        events.record(
+            "stream_rerouted",
+            order.stream.requestId,
+            "epoch" to order.epoch,
+            "next" to order.route.firstOrNull()?.instance?.value,
+            "status" to status
+        )
+        sendReady()
+        return status
+    }
+
+    fun release(streams: List<StreamKey>) {
+        lock.withLock {
+            streams.forEach(state::release)
+            inputsReady.signal()
+        }
+    }
+
+    fun progress(streams: List<StreamKey>): StageProgress =
+        StageProgress(
+            engine.ready,
+            engine.stepAgeMs(clock.nowMs()),
+            lock.withLock { streams.mapNotNull(state::progress) }
+        )
+
+    /** Frees streams whose head has been silent for too long. */
+    fun releaseIdle(nowMs: Long) {
+        val idle = lock.withLock { state.idleSince(nowMs - limits.idleStreamMs) }
+        if (idle.isEmpty()) return
+        events.record("idle_streams_released", null, "count" to idle.size)
+        release(idle)
+    }
+
+    /** Runs the batch loop until the thread is interrupted. */
+    fun runLoop() {
+        while (!Thread.currentThread().isInterrupted) {
+            if (!engine.recover()) {
+                Thread.sleep(RECOVERY_INTERVAL_MS)
+            } else {
+                runStep(awaitInputs())
+            }
+        }
+    }
+
+    private fun awaitInputs(): List<EngineInput> =
+        lock.withLock {
+            while (true) {
+                freeStreams()
+                val inputs = state.nextStep()
+                if (inputs.isNotEmpty()) return inputs
+                inputsReady.await()
+            }
+            @Suppress("UNREACHABLE_CODE")
+            emptyList()
+        }
+
+    // Called between two steps, so that no stream is freed while the engine runs it.
+    private fun freeStreams() {
+        val freed = state.takeFreed()
+        if (freed.isNotEmpty()) execute { freed.forEach(engine::release) }
+    }
+
+    private fun runStep(inputs: List<EngineInput>) {
+        when (val result = engine.step(inputs)) {
+            is EngineResult.Done -> complete(result.value)
+            is EngineResult.Refused -> refused(inputs, result.message)
+            is EngineResult.NotSent -> lost(inputs, crashed = false, result.message)
+            is EngineResult.Broken -> lost(inputs, crashed = true, result.message)
+        }
+    }
+
+    private fun complete(outputs: List<EngineOutput>) {
+        lock.withLock { state.completeStep(outputs, clock.nowMs()) }
+        sendReady()
+    }
+
+    // One bad input makes the engine refuse the whole step; run alone, only that one fails.
+    private fun refused(inputs: List<EngineInput>, message: String) {
+        if (inputs.size > 1) {
+            inputs.forEach { if (engine.ready) runStep(listOf(it)) }
+            return
+        }
+        val stream = inputs.single().stream
+        events.record("step_refused", stream.requestId, "message" to message)
+        report(lock.withLock { listOfNotNull(state.lose(stream, message)) })
+    }
+
+    private fun lost(inputs: List<EngineInput>, crashed: Boolean, message: String) {
+        val stepped = inputs.map { it.stream }.toSet()
+        report(lock.withLock { state.loseAll(stepped, crashed, message) })
+    }
+
+    private fun sendReady() {
+        val sends = ArrayList<() -> Unit>()
+        lock.withLock {
+            for (stage in state.readyStages()) {
+                if (!beginFlight(stage.address)) continue
+                val flight = state.takeHops(stage.instance)
+                sends.add { execute { sendHops(stage, flight) } }
+            }
+            for (head in state.readyHeads()) {
+                val isLocal = head == self.address && localHead != null
+                if (!isLocal && !beginFlight(head)) continue
+                val tokens = state.takeTokens(head)
+                sends.add {
+                    if (isLocal) deliverLocally(tokens) else execute { sendTokens(head, tokens) }
+                }
+            }
+        }
+        sends.forEach { it() }
+    }
+
+    private fun sendHops(stage: RouteStage, flight: StageFlight) {
+        val reply = peers.sendHops(stage.address, HopBatch(flight.items))
+        val faults =
+            lock.withLock {
+                endFlight(stage.address)
+                when (reply) {
+                    is PeerReply.Answered -> state.acknowledged(flight, reply.value.items)
+                    is PeerReply.Failed -> state.sendFailed(flight, stage.instance, reply.message)
+                }
+            }
+        report(faults)
+        sendReady()
+    }
+
+    private fun sendTokens(head: String, tokens: List<SampledToken>) {
+        val reply = peers.sendTokens(head, TokenBatch(tokens))
+        lock.withLock {
+            endFlight(head)
+            state.tokensSent(tokens)
+        }
+        when (reply) {
+            is PeerReply.Answered -> release(reply.value.streams)
+            is PeerReply.Failed ->
+                events.record(
+                    "tokens_not_sent",
+                    null,
+                    "head" to head,
+                    "count" to tokens.size,
+                    "message" to reply.message
+                )
+        }
+        sendReady()
+    }
+
+    private fun deliverLocally(tokens: List<SampledToken>) {
+        lock.withLock { state.tokensSent(tokens) }
+        localHead?.onTokens(tokens)
+    }
+
+    private fun report(notices: List<StageNotice>) {
+        for (notice in notices) {
+            val fault =
+                StageFault(
+                    notice.streams,
+                    notice.stage,
+                    self.instance,
+                    notice.backendServerCrashed,
+                    notice.message
+                )
+            events.record(
+                "stage_fault",
+                notice.streams.singleOrNull()?.requestId,
+                "stage" to notice.stage.value,
+                "streams" to notice.streams.size,
+                "crashed" to notice.backendServerCrashed,
+                "message" to notice.message
+            )
+            if (notice.headAddress == self.address) {
+                localHead?.onFault(fault)
+            } else {
+                execute { peers.sendFault(notice.headAddress, fault) }
+            }
+        }
+    }
+
+    private fun beginFlight(address: String): Boolean {
+        val count = inFlight[address] ?: 0
+        if (count >= MAX_IN_FLIGHT) return false
+        inFlight[address] = count + 1
+        return true
+    }
+
+    private fun endFlight(address: String) {
+        inFlight.computeIfPresent(address) { _, count -> if (count > 1) count - 1 else null }
+    }
+
+    private fun execute(task: () -> Unit) {
+        try {
+            executor.execute(task)
+        } catch (_: RejectedExecutionException) {
+            // The process is stopping; its peers notice that it went away.
+        }
+    }
+
+    private companion object {
+        const val RECOVERY_INTERVAL_MS = 200L
+        const val MAX_IN_FLIGHT = 2
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -0,0 +1,282 @@
+package org.jacinthlink.sidecar.stage
+
+import org.jacinthlink.api.EngineInput
+import org.jacinthlink.api.EngineOutput
+import org.jacinthlink.api.HopAckItem
+import org.jacinthlink.api.HopItem
+import org.jacinthlink.api.HopStatus
+import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.Reroute
+import org.jacinthlink.api.RerouteStatus
+import org.jacinthlink.api.RouteStage
+import org.jacinthlink.api.SampledToken
+import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.StreamProgress
+import org.jacinthlink.decision.stage.CursorDecision
+import org.jacinthlink.decision.stage.StageCursor
+import org.jacinthlink.decision.stage.decideItem
+
+/**
+ * Streams of one stage: what was received, ran and was sent on, by position.
+ *
+ * Does no I/O. Not safe for use by several threads.
+ */
+internal class StageState(private val self: RouteStage, private val limits: StageLimits) {
+    private val streams = LinkedHashMap<StreamKey, StageStream>()
+    private val released = RecentKeys(RELEASED_CAPACITY)
+    private val freed = ArrayList<StreamKey>()
+    private val step = StageStep(limits)
+    private var flights = 0L
+    private var retainedBytes = 0L
+
+    val streamCount: Int get() = streams.size
+
+    /** Takes one item from the stage before and says what became of it. */
+    fun receive(item: HopItem, nowMs: Long): HopAckItem {
+        val stream = streams[item.stream]
+        return when {
+            item.stream in released -> acknowledge(item, HopStatus.STALE_EPOCH, 0)
+            !isForSelf(item) -> acknowledge(item, HopStatus.WRONG_LAYERS, 0)
+            stream != null -> receive(stream, item, nowMs)
+            item.firstPosition > 0 -> acknowledge(item, HopStatus.GAP, 0)
+            else -> receive(StageStream(item).also { streams[it.key] = it }, item, nowMs)
+        }
+    }
+
+    private fun receive(stream: StageStream, item: HopItem, nowMs: Long): HopAckItem {
+        val cursor = StageCursor(stream.epoch, stream.received)
+        val decision = decideItem(cursor, item.epoch, item.firstPosition, item.payloads.size)
+        if (decision.cursor.epoch > stream.epoch) stream.adopt(item.epoch, item.route)
+        val status =
+            when (decision) {
+                is CursorDecision.StaleEpoch -> HopStatus.STALE_EPOCH
+                is CursorDecision.Gap -> HopStatus.GAP
+                is CursorDecision.Duplicate -> {
+                    stream.repeatNewest()
+                    HopStatus.DUPLICATE
+                }
+                is CursorDecision.Accept -> {
+                    stream.accept(item, decision.skipCount, nowMs)
+                    HopStatus.ACCEPTED
+                }
+            }
+        return acknowledge(item, status, stream.received)
+    }
+
+    /** Inputs of the next step; empty if no stream has any. */
+    fun nextStep(): List<EngineInput> {
+        val selected = step.select(streams.values.filter { it.canStep })
+        // A stream that ran goes to the end, so that each prompt gets its turn.
+        selected.forEach { input ->
+            streams[input.stream] = streams.remove(input.stream)!!
+        }
+        return selected
+    }
+
+    /** Records the outputs of the step in progress. */
+    fun completeStep(outputs: List<EngineOutput>, nowMs: Long) {
+        for (output in outputs) {
+            val stream = streams[output.stream]
+            if (stream != null && stream.stepping > 0 && stream.ran == output.firstPosition) {
+                completeStep(stream, output, nowMs)
+            }
+        }
+    }
+
+    private fun completeStep(stream: StageStream, output: EngineOutput, nowMs: Long) {
+        val before = stream.outputs.sizeBytes
+        stream.completeStep(output.payloads, output.nextToken, nowMs)
+        retainedBytes += stream.outputs.sizeBytes - before
+        if (retainedBytes > limits.maxRetainedBytes) stream.retentionDropped = true
+        if (stream.retentionDropped) trim(stream)
+    }
+
+    /** Frees all streams after the engine lost them; [stepped] were in the step that broke. */
+    fun loseAll(stepped: Set<StreamKey>, crashed: Boolean, message: String): List<StageNotice> {
+        val lost = streams.values.toList()
+        lost.forEach { remove(it.key) }
+        return lost
+            .groupBy { it.headAddress to (crashed && it.key in stepped) }
+            .map { (group, members) ->
+                StageNotice(
+                    group.first,
+                    members.map {
+                        it.key
+                    },
+                    self.instance,
+                    group.second,
+                    message
+                )
+            }
+    }
+
+    /** Frees one stream that the engine refuses. */
+    fun lose(stream: StreamKey, message: String): StageNotice? =
+        remove(stream)?.let {
+            StageNotice(it.headAddress, listOf(stream), self.instance, false, message)
+        }
+
+    /** Next stages for which outputs wait. */
+    fun readyStages(): List<RouteStage> =
+        streams.values.filter { it.canSend }.mapNotNull { it.next }.distinctBy { it.instance }
+
+    /** Takes the items of the next message to [stage]. */
+    fun takeHops(stage: InstanceId): StageFlight {
+        val number = ++flights
+        val items = ArrayList<HopItem>()
+        var bytes = 0
+        for (stream in streams.values.filter { it.canSend && it.next?.instance == stage }) {
+            if (bytes >= limits.maxMessageBytes) break
+            val item = hopItem(stream, limits.maxMessageBytes - bytes)
+            bytes += item.payloads.sumOf { it.length }
+            stream.flight = number
+            stream.highestSent =
+                maxOf(stream.highestSent, item.firstPosition + item.payloads.size)
+            items += item
+        }
+        return StageFlight(number, items)
+    }
+
+    private fun hopItem(stream: StageStream, maxBytes: Int): HopItem {
+        val isReplay = stream.sendFrom < stream.replayUntil
+        val end = if (isReplay) stream.replayUntil else stream.ran
+        return HopItem(
+            stream = stream.key,
+            epoch = stream.epoch,
+            firstPosition = stream.sendFrom,
+            payloads = stream.outputs.read(stream.sendFrom, end, maxBytes),
+            route = stream.route.drop(1),
+            headAddress = stream.headAddress,
+            replay = isReplay,
+            isolated = stream.isolated
+        )
+    }
+
+    /** Records the answer to [flight]. The returned faults go to the heads. */
+    fun acknowledged(flight: StageFlight, answers: List<HopAckItem>): List<StageNotice> {
+        val byStream = answers.associateBy { it.stream }
+        return flight.items.mapNotNull { item ->
+            val stream = streams[item.stream]?.takeIf { it.flight == flight.number }
+            val answer = byStream[item.stream]
+            if (stream == null) {
+                null
+            } else {
+                stream.flight = 0
+                answer?.let { applyAnswer(stream, item, it) }
+            }
+        }
+    }
+
+    private fun applyAnswer(
+        stream: StageStream,
+        item: HopItem,
+        answer: HopAckItem
+    ): StageNotice? {
+        val sentEnd = item.firstPosition + item.payloads.size
+        when (answer.status) {
+            HopStatus.ACCEPTED, HopStatus.DUPLICATE ->
+                stream.sendFrom = maxOf(sentEnd, minOf(answer.expectedPosition, stream.ran))
+            HopStatus.GAP -> stream.sendFrom = answer.expectedPosition
+            // A newer route may have come while the message was on its way.
+            HopStatus.STALE_EPOCH -> if (stream.epoch == item.epoch) remove(stream.key)
+            HopStatus.WRONG_LAYERS ->
+                return suspend(stream, "the next stage holds other layers")
+        }
+        if (stream.retentionDropped) trim(stream)
+        if (stream.sendFrom >= stream.outputs.firstPosition) return null
+        return lose(stream.key, "outputs from position ${stream.sendFrom} are not retained")
+    }
+
+    private fun suspend(stream: StageStream, message: String): StageNotice {
+        stream.suspended = true
+        val failed = stream.next?.instance ?: self.instance
+        return StageNotice(stream.headAddress, listOf(stream.key), failed, false, message)
+    }
+
+    /** Suspends all streams whose next stage is [stage], because it did not answer. */
+    fun sendFailed(flight: StageFlight, stage: InstanceId, message: String): List<StageNotice> {
+        flight.items.forEach { item ->
+            streams[item.stream]?.takeIf { it.flight == flight.number }?.flight = 0
+        }
+        val affected = streams.values.filter { it.next?.instance == stage && !it.suspended }
+        affected.forEach { it.suspended = true }
+        return affected.groupBy { it.headAddress }.map { (head, members) ->
+            StageNotice(head, members.map { it.key }, stage, false, message)
+        }
+    }
+
+    /** Heads for which tokens wait. */
+    fun readyHeads(): List<String> =
+        streams.values.filter { it.canSendToken }.map { it.headAddress }.distinct()
+
+    /** Takes the tokens of the next message to [headAddress]. */
+    fun takeTokens(headAddress: String): List<SampledToken> =
+        streams.values
+            .filter { it.canSendToken && it.headAddress == headAddress }
+            .mapNotNull {
+                it.tokenInFlight = true
+                it.tokenDue = false
+                it.token
+            }
+
+    /** Records that [tokens] reached their head, or that the head cannot be reached. */
+    fun tokensSent(tokens: List<SampledToken>) {
+        tokens.forEach { streams[it.stream]?.tokenInFlight = false }
+    }
+
+    /** Sends a stream on another route. */
+    fun reroute(order: Reroute): RerouteStatus {
+        val stream = streams[order.stream] ?: return RerouteStatus.UNKNOWN_STREAM
+        if (order.epoch <= stream.epoch) return RerouteStatus.STALE_EPOCH
+        val isChanged = order.route.firstOrNull()?.instance != stream.next?.instance
+        if (isChanged && stream.outputs.firstPosition > 0) return RerouteStatus.NOT_RETAINED
+        stream.adopt(order.epoch, listOf(self) + order.route)
+        if (!isChanged) stream.repeatNewest()
+        return RerouteStatus.APPLIED
+    }
+
+    /** Frees [stream]. Late messages of it are refused from now on. */
+    fun release(stream: StreamKey): Boolean {
+        released.add(stream)
+        return remove(stream) != null
+    }
+
+    /** Streams that had no input since [limitMs]. */
+    fun idleSince(limitMs: Long): List<StreamKey> =
+        streams.values.filter { it.lastActiveMs < limitMs }.map { it.key }
+
+    /** How far [stream] came; null if it is not known here. */
+    fun progress(stream: StreamKey): StreamProgress? =
+        streams[stream]?.let {
+            StreamProgress(stream, it.epoch, it.received, it.ran, it.sendFrom, it.suspended)
+        }
+
+    /** Streams removed since the last call, whose KV state the engine must free. */
+    fun takeFreed(): List<StreamKey> = freed.toList().also { freed.clear() }
+
+    private fun remove(key: StreamKey): StageStream? =
+        streams.remove(key)?.also {
+            retainedBytes -= it.outputs.sizeBytes
+            freed += key
+        }
+
+    private fun trim(stream: StageStream) {
+        val before = stream.outputs.sizeBytes
+        stream.outputs.dropBefore(stream.sendFrom)
+        retainedBytes -= before - stream.outputs.sizeBytes
+    }
+
+    private fun isForSelf(item: HopItem): Boolean =
+        item.route.firstOrNull()?.let {
+            it.instance == self.instance &&
+                it.firstLayer == self.firstLayer &&
+                it.endLayer == self.endLayer
+        } ?: false
+
+    private fun acknowledge(item: HopItem, status: HopStatus, expectedPosition: Int) =
+        HopAckItem(item.stream, status, expectedPosition)
+
+    private companion object {
+        const val RELEASED_CAPACITY = 8_192
+    }
+}
