--- a/standins/src/main/kotlin/org/jacinthlink/standins/ProxyPipe.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/ProxyPipe.kt
@@ -89,6 +89,7 @@
     /** Returns false when the pipe has ended. */
     private fun deliver(chunk: Chunk): Boolean {
         link.awaitDue(direction, chunk.readNs, chunk.bytes.size) { connection.isCut }
+        if (connection.isCut) return false
         if (chunk.bytes.isEmpty()) {
             if (!connection.isSilenced && !isLossy) shutDownReceiver()
             return false
