--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -7,6 +7,7 @@
 import io.undertow.util.HttpString
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -16,8 +17,11 @@
 import org.jacinthlink.api.ResultCode
 
 /** Runs an http4k handler on Undertow's workers; a [PushBody] continues without a thread. */
-internal class UndertowHandler(private val handler: HttpHandler, private val limits: ServerLimits) :
-    io.undertow.server.HttpHandler {
+internal class UndertowHandler(
+    private val handler: HttpHandler,
+    private val limits: ServerLimits,
+    private val controlLane: ControlLane
+) : io.undertow.server.HttpHandler {
     private val openExchanges = AtomicInteger()
 
     override fun handleRequest(exchange: HttpServerExchange) {
@@ -29,7 +33,12 @@
         val receiver = exchange.requestReceiver
         receiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
         receiver.receiveFullBytes(
-            { received, body -> received.dispatch(Runnable { serve(received, body) }) },
+            { received, body ->
+                received.dispatch(
+                    controlLane.executorFor(received.requestPath),
+                    Runnable { serve(received, body) }
+                )
+            },
             { failed, cause -> failed.dispatch(Runnable { serveReadFailure(failed, cause) }) }
         )
     }
@@ -65,12 +74,30 @@
         }
         when (val body = response.body) {
             is PushBody -> body.onStart(UndertowPushSink(exchange))
+            is DeferredBody -> body.onStart(sendOnce(exchange))
             else -> exchange.responseSender.send(body.payload.duplicate())
         }
     }
 
+    private fun sendOnce(exchange: HttpServerExchange): (Response) -> Unit {
+        val sent = AtomicBoolean()
+        return { later ->
+            if (sent.compareAndSet(false, true)) {
+                try {
+                    send(exchange, later)
+                } catch (e: Exception) {
+                    logger.warn(e) { "event=response_failed" }
+                    exchange.endExchange()
+                }
+            }
+        }
+    }
+
     private fun respond(exchange: HttpServerExchange, body: ByteArray): Response =
-        if (openExchanges.get() > limits.maxConnections) {
+        if (
+            openExchanges.get() > limits.maxConnections &&
+            controlLane.executorFor(exchange.requestPath) == null
+        ) {
             errorResponse(ResultCode.OVERLOADED, "too many open requests")
         } else {
             handleSafely(exchange, body)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.runtime.membership
 
 import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ListedInstance
 
 /**
@@ -25,10 +26,25 @@
     val isAvailable: Boolean
         get() = !listed.leaving && !unreachable && !draining && description?.draining == false
 
+    /** False if [instance] is an earlier process of this name, whose answer came late. */
+    fun isPresent(instance: InstanceId): Boolean =
+        description == null || instance == description.instance || instance == listed.instance
+
     /** True until the first description arrives or fails. */
     val isNew: Boolean get() = description == null && failures == 0
 }
 
+/** The instance as [Membership] shows it; null without a description. */
+internal fun Member.known(): KnownInstance? = description?.let { KnownInstance(it, describedAtMs) }
+
+/**
+ * What listeners are told of; null while no work may go to the instance.
+ *
+ * Load changes all the time and is read when it is needed.
+ */
+internal fun Member.shown(): InstanceDescription? =
+    description?.takeIf { isAvailable }?.copy(load = null, configurationRevision = 0)
+
 /** Takes a description that was asked for at [askedAtMs]. */
 internal fun Member.described(
     answer: InstanceDescription,
