--- a/cli/src/main/kotlin/org/jacinthlink/cli/daemons/DaemonCommands.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/daemons/DaemonCommands.kt
@@ -4,6 +4,9 @@
 import org.jacinthlink.entry.EntrySettings
 import org.jacinthlink.entry.checkEntry
 import org.jacinthlink.entry.startEntry
+import org.jacinthlink.sidecar.SidecarSettings
+import org.jacinthlink.sidecar.checkSidecar
+import org.jacinthlink.sidecar.startSidecar
 
 /** Commands that run the processes of the system. */
 internal fun daemonCommands(): List<Command> =
@@ -13,5 +16,11 @@
             "Runs an entry",
             EntrySettings.serializer(),
             { checkEntry(it) }
-        ) { startEntry(it, stopOnSignal = true) }
+        ) { startEntry(it, stopOnSignal = true) },
+        DaemonCommand(
+            "sidecar",
+            "Runs the sidecar of one backend server",
+            SidecarSettings.serializer(),
+            { checkSidecar(it) }
+        ) { startSidecar(it, stopOnSignal = true) }
     )
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ObservingPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ObservingPeerClient.kt
@@ -32,7 +32,7 @@
 }
 
 /** Value of the header [name], whatever its case. */
-internal fun Map<String, String>.headerValue(name: String): String? =
+fun Map<String, String>.headerValue(name: String): String? =
     this[name] ?: entries.firstOrNull { it.key.equals(name, ignoreCase = true) }?.value
 
 private fun addressOf(url: String): String = url.substringAfter("://").substringBefore('/')
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/settings/SettingsLoader.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/settings/SettingsLoader.kt
@@ -48,6 +48,10 @@
         invalid(listOf("$file: cannot be read: ${e.javaClass.simpleName}"))
     }
 
+/** Writes [settings] as YAML that [loadSettings] reads. */
+fun <T> renderSettings(serializer: KSerializer<T>, settings: T): String =
+    yaml.encodeToString(serializer, settings)
+
 private fun <T> decode(
     serializer: KSerializer<T>,
     root: YamlNode,
