Recover from silent stages and frozen engines

Cause: a stage that accepts connections but never answers, an engine that hangs in a step, and lost token messages were not covered by tests. A frozen engine that was reported broken seconds later would have ended streams that already ran elsewhere.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
@@ -26,6 +26,9 @@
     var ready = false
         private set
 
+    /** True while the engine holds its layers and no step has taken longer than [stallMs]. */
+    fun isServing(nowMs: Long, stallMs: Long): Boolean = ready && stepAgeMs(nowMs) <= stallMs
+
     /** Age of the step in progress; 0 if there is none. */
     fun stepAgeMs(nowMs: Long): Long = stepStartedMs.let { if (it == 0L) 0 else nowMs - it }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Failover.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Failover.kt
@@ -72,7 +72,7 @@
         }
         if (old.first().instance in stream.failed) return RouteChange.Impossible
         val route = head.replaceFailed(stream) ?: return RouteChange.Impossible
-        stream.takeRoute(route)
+        stream.takeRoute(route, clock.nowMs())
         return RouteChange.Changed(stream.epoch, route, failed.maxOrNull() ?: route.size)
     }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -191,10 +191,9 @@
 
     override fun onFault(fault: StageFault) {
         for (key in fault.streams) {
-            val stream = synchronized(lock) { registry.findRunning(key) } ?: continue
-            val isVisited = synchronized(lock) { fault.stage in stream.visited }
+            val isAffected = withRunning(key) { it.usesRecently(fault.stage, clock.nowMs()) }
             when {
-                !isVisited -> Unit
+                isAffected != true -> Unit
                 fault.backendServerCrashed ->
                     end(key, failed(fault.message, crashed = true), "backend_server_crashed")
                 fault.stage == self.instance -> end(key, failed(fault.message), "stage_failed")
@@ -233,18 +232,24 @@
             }
             val heartbeat = StreamEvent.Heartbeat(registry.load(nowMs))
             registry.all
-                .filter { nowMs - it.lineSentAtMs >= limits.heartbeatMs }
+                .filter { isHeartbeatDue(it, nowMs) }
                 .forEach { it.send(heartbeat, nowMs) }
         }
         startNext()
     }
 
+    // A stream that gets tokens still carries the load, but less often.
+    private fun isHeartbeatDue(stream: HeadStream, nowMs: Long): Boolean =
+        nowMs - stream.lineSentAtMs >= limits.heartbeatMs ||
+            nowMs - stream.loadSentAtMs >= LOAD_HEARTBEATS * limits.heartbeatMs
+
     private fun startNext() {
         while (true) {
             val stream =
                 synchronized(lock) {
-                    registry.startNext(routes.ownTokensPerSecond(), clock.nowMs())?.also { next ->
-                        routes.next()?.let(next::takeRoute)
+                    val nowMs = clock.nowMs()
+                    registry.startNext(routes.ownTokensPerSecond(), nowMs)?.also { next ->
+                        routes.next()?.let { next.takeRoute(it, nowMs) }
                     }
                 } ?: return
             if (stream.route.isEmpty()) {
@@ -318,6 +323,7 @@
     private companion object {
         const val REASON_LENGTH = "length"
         const val MAX_FEEDS = 8
+        const val LOAD_HEARTBEATS = 4
 
         // The target of a resumed stream is met or missed already; it still has to be served.
         const val RESUMED_WAIT_MS = 10_000L
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -26,6 +26,7 @@
 
     /** Addresses of all stages that may hold state of this stream. */
     val visited = LinkedHashMap<InstanceId, String>()
+    private val leftAtMs = HashMap<InstanceId, Long>()
     val failed = HashSet<InstanceId>()
     var isFailingOver = false
     var startedAtMs = 0L
@@ -33,6 +34,9 @@
     /** Time of the latest token, or of the latest change of the route. */
     var progressAtMs = 0L
     var lineSentAtMs = 0L
+        private set
+    var loadSentAtMs = 0L
+        private set
     var probes = 0
 
     /** Smoothed time between two tokens; 0 before the second token. */
@@ -42,12 +46,19 @@
     /** Position of the next token that is sampled. */
     val nextPosition: Int get() = open.promptTokens.size + tokens.size
 
-    fun takeRoute(newRoute: List<FlowStage>) {
+    fun takeRoute(newRoute: List<FlowStage>, nowMs: Long) {
+        val kept = newRoute.map { it.instance }.toSet()
+        route.map { it.instance }.filter { it !in kept }.forEach { leftAtMs[it] = nowMs }
         route = newRoute
         epoch++
         newRoute.forEach { visited[it.instance] = it.address }
     }
 
+    /** True if [stage] is part of the route, or was until a moment ago. */
+    fun usesRecently(stage: InstanceId, nowMs: Long): Boolean =
+        route.any { it.instance == stage } ||
+            leftAtMs[stage]?.let { nowMs - it <= RECENT_MS } ?: false
+
     fun addToken(text: String, nowMs: Long) {
         if (tokens.size > open.emittedTokens.size) {
             val gap = (nowMs - progressAtMs).toDouble()
@@ -60,6 +71,7 @@
 
     fun send(event: StreamEvent, nowMs: Long): Boolean {
         lineSentAtMs = nowMs
+        if (event !is StreamEvent.Token) loadSentAtMs = nowMs
         return sink.send(ProtocolJson.encodeToString(StreamEvent.serializer(), event) + "\n")
     }
 
@@ -90,6 +102,11 @@
 
     private companion object {
         const val GAP_WEIGHT = 0.2
+
+        // A crash breaks the connection at once, and its report may come after that of the stage
+        // before. A frozen engine is reported broken much later, and says nothing about a stream
+        // that runs elsewhere by then.
+        const val RECENT_MS = 2_000L
     }
 }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -18,7 +18,9 @@
 ) {
     val handler: HttpHandler = stageRoutes(runner, head?.head)
 
-    val ready: Boolean get() = engine.ready
+    /** False while the engine is away or frozen, so that no head starts a stream here. */
+    val ready: Boolean
+        get() = engine.isServing(parts.clock.nowMs(), parts.headLimits.stepStallMs)
 
     /** Starts the batch loop and the timers. */
     fun start() {
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/TestPipeline.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/TestPipeline.kt
@@ -36,7 +36,12 @@
 import org.jacinthlink.standins.startWeightStoreStandIn
 
 /** One sidecar of a [TestPipeline] and its engine. */
-internal class TestStage(val name: String, val engine: EngineStandIn, val sidecar: RunningProcess)
+internal class TestStage(
+    val name: String,
+    val engine: EngineStandIn,
+    val sidecar: RunningProcess,
+    val directAddress: String
+)
 
 /** Sidecars of one model with [layerCount] layers over stand-ins, in this JVM. */
 internal class TestPipeline(private val layerCount: Int) : AutoCloseable {
@@ -86,7 +91,7 @@
                 "zone-a"
             )
         )
-        return TestStage(name, engine, sidecar).also { stages += it }
+        return TestStage(name, engine, sidecar, "127.0.0.1:$port").also { stages += it }
     }
 
     /** Opens a stream at [head] until a route exists. */
@@ -121,7 +126,7 @@
                 fingerprint = id
             )
         val body = ProtocolJson.encodeToString(StreamOpen.serializer(), open)
-        val call = PeerCall("POST", "http://${head.sidecar.address}/v1/streams", body)
+        val call = PeerCall("POST", "http://${head.directAddress}/v1/streams", body)
         return TestStream(prompt).also { it.call = client.stream(call, 1_000, it) }
     }
 
@@ -140,8 +145,8 @@
         }
 
     override fun close() {
-        stages.forEach { it.sidecar.stop() }
-        stages.forEach { it.engine.stop() }
+        stages.parallelStream().forEach { it.sidecar.stop() }
+        stages.parallelStream().forEach { it.engine.stop() }
         listOf(keyValue, instanceList, weightStore).forEach { it.stop() }
         client.close()
     }
