--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
@@ -3,10 +3,15 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
 import kotlin.random.Random
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
@@ -38,6 +43,56 @@
 ) =
     MembershipTable({ interest(it.instance.value) }, rates, Random(1))
 
+/** Random operations on a table beside a plain account of what excludes each instance. */
+private class MembershipRun(private val random: Random) {
+    private val names = listOf("a", "b", "c")
+    private val table = table()
+    private val excludedAtMs = mutableMapOf<String, Long>()
+    private val present = mutableSetOf<String>()
+    private var nowMs = 0L
+
+    fun repeatSteps(count: Int) = repeat(count) {
+        nowMs += random.nextLong(1, 500)
+        step(names.random(random))
+        table.available().forEach { known ->
+            val name = known.description.instance.value
+            present shouldContain name
+            excludedAtMs.keys shouldNotContain name
+        }
+    }
+
+    private fun step(name: String) {
+        val id = InstanceId(name)
+        when (random.nextInt(5)) {
+            0 -> relist()
+            1 -> describe(name)
+            2 -> exclude(name) { table.reportDraining(id, nowMs) }
+            3 -> exclude(name) { table.reportUnreachable(id, nowMs) }
+            else -> exclude(name) { table.describeFailed(id, true, nowMs) }
+        }
+    }
+
+    private fun relist() {
+        val kept = names.filter { random.nextInt(4) > 0 }
+        val leaving = kept.filter { random.nextInt(4) == 0 }.toSet()
+        table.applyList(kept.map { listed(it, it in leaving) })
+        excludedAtMs.keys.retainAll(kept)
+        present.clear()
+        present += kept - leaving
+    }
+
+    private fun describe(name: String) {
+        val askedAtMs = nowMs - random.nextLong(0, 1_000)
+        table.described(InstanceId(name), described(name), askedAtMs, nowMs)
+        if (askedAtMs > (excludedAtMs[name] ?: Long.MAX_VALUE)) excludedAtMs -= name
+    }
+
+    private fun exclude(name: String, report: () -> Unit) {
+        report()
+        if (table.listed().any { it.instance.value == name }) excludedAtMs[name] = nowMs
+    }
+}
+
 class MembershipTableSpec :
     DescribeSpec({
         describe("a listed instance") {
@@ -134,6 +189,14 @@
             }
         }
 
+        describe("any order of lists, descriptions and reports") {
+            it("never offers an instance that is unlisted, leaving or excluded since") {
+                checkAll(300, Arb.long()) { seed ->
+                    withClue("seed $seed") { MembershipRun(Random(seed)).repeatSteps(200) }
+                }
+            }
+        }
+
         describe("the rate of descriptions") {
             it("stays bounded at 960 instances, and all are known in 16 s") {
                 val table = table()
