--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -76,9 +76,8 @@
             context.membership.reportUnreachable(attempt.head.instance)
         }
         leave(attempt)
-        if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) {
-            parts.cancel(attempt, job.requestId)
-        }
+        attempt.call?.cancel()
+        if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
         excluded += attempt.head.instance
         record(
@@ -90,6 +89,14 @@
             "cause" to end.cause
         )
         if (isRetried(end)) dispatch() else fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+        if (end.fate != AttemptFate.NOT_RUN && end.refusal == null) cancel(attempt)
+    }
+
+    // A head cancels all attempts of a request, so a new one at the same head must not be hit.
+    private fun cancel(attempt: ChatAttempt) {
+        if (this.attempt?.head?.instance != attempt.head.instance) {
+            parts.cancel(attempt, job.requestId)
+        }
     }
 
     private fun token(attempt: ChatAttempt, event: StreamEvent.Token) {
@@ -116,6 +123,7 @@
             return onBroken(attempt, AttemptEnd(AttemptFate.RAN, cause))
         }
         leave(attempt)
+        parts.heads.failures.succeeded(attempt.head.instance)
         responder.end(event.reason, tokens.size)
         finish(null)
     }
@@ -148,6 +156,9 @@
         }
     }
 
+    private fun isFaultOfHead(end: AttemptEnd): Boolean =
+        end.refusal == null || end.refusal.code in BROKEN
+
     private fun isRetried(end: AttemptEnd): Boolean =
         RetryRules.mayFollow(ends) &&
             (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
@@ -256,6 +267,13 @@
         // The loss of a head is to be repaired within two seconds.
         const val RESUME_TIME_MS = 2_000L
 
+        val BROKEN =
+            setOf(
+                ResultCode.NO_BACKEND_SERVER,
+                ResultCode.STREAM_FAILED,
+                ResultCode.INTERNAL_ERROR
+            )
+
         // A failed zone leaves the membership within this time, and other heads become known.
         const val MAX_HEAD_WAIT_MS = 2_000L
     }
