Execute plain calls at most once through claims

Sidecars had no path for calls to plain services. CallRequest gets an optional sentAtMs: a sidecar that was frozen beyond the retention of claims would otherwise run a call that it reads late from its socket.

--- a/api/src/main/kotlin/org/jacinthlink/api/CallRequest.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/CallRequest.kt
@@ -7,6 +7,8 @@
  *
  * @property idempotencyKey Key of the caller; absent for calls that may be repeated.
  * @property bodyHash Hash over method, path and body; a key is bound to it.
+ * @property sentAtMs Wall clock of the sender. A receiver that was frozen finds out from it that a
+ *   call has waited in its socket until after the retention of claims.
  */
 @Serializable
 data class CallRequest(
@@ -20,7 +22,8 @@
     val body: String,
     val idempotencyKey: String? = null,
     val bodyHash: String,
-    val remainingMs: Long
+    val remainingMs: Long,
+    val sentAtMs: Long? = null
 )
 
 /** Asks that a call with [idempotencyKey] never run (`POST /v1/calls/cancel`). */
--- a/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimBucketSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimBucketSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.jacinthlink.api.Failure
@@ -61,6 +62,25 @@
             }
         }
 
+        describe("a bucket within its default limit") {
+            it("has room for 1,500 calls with results of 200 bytes (growth of the encoding)") {
+                val answer = RecordedResult(200, emptyMap(), "x".repeat(200))
+                val calls =
+                    (1..5_000).flatMap { index ->
+                        val key = "4:shop:" + "$index".padStart(36, '0')
+                        val (nonce, hash) = key.takeLast(36) to "h".repeat(64)
+                        listOf(
+                            ClaimOperation.Begin(key, hash, nonce, 1_700_000_000_000),
+                            ClaimOperation.Complete(key, hash, nonce, answer)
+                        )
+                    }
+                val change = applyOperations(ClaimBucket.of(), calls, 1_700_000_000_000)
+                val recorded = change.decisions.count { it == ClaimDecision.Done(answer) }
+                println("claims: room for $recorded calls with results of 200 bytes")
+                recorded shouldBeGreaterThan 1_500
+            }
+        }
+
         describe("pruning") {
             it("keeps a claim until its retention and the clock skew have passed") {
                 val limits = ClaimLimits(retentionMs = 1_000, clockSkewMs = 50)
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallExecutor.kt
@@ -0,0 +1,169 @@
+package org.jacinthlink.sidecar.calls
+
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicBoolean
+import org.jacinthlink.api.CallAnswer
+import org.jacinthlink.api.CallCancel
+import org.jacinthlink.api.CallRequest
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.LoadReport
+import org.jacinthlink.api.PlainService
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.decision.claims.ClaimDecision
+import org.jacinthlink.decision.claims.ClaimOperation
+import org.jacinthlink.decision.claims.claimKey
+import org.jacinthlink.decision.routing.AdmissionDecision
+import org.jacinthlink.runtime.configuration.ConfigurationView
+import org.jacinthlink.runtime.supervision.Scope
+
+/** Executes the calls of one plain service; a call with an idempotency key at most once. */
+class CallExecutor internal constructor(
+    private val holding: Holding.Service,
+    private val claims: ClaimStore,
+    private val runner: CallRunner,
+    private val queue: CallQueue,
+    private val settings: CallExecutorSettings,
+    private val clocks: SidecarClocks
+) {
+    private val isDraining = AtomicBoolean(false)
+
+    /** Number of calls that wait, run or have a result to record; a graceful stop awaits them. */
+    val openCalls: Int get() = queue.openCalls + runner.unrecordedCount
+
+    /** Present load of this executor. */
+    fun load(): LoadReport = queue.load(clocks.wall.nowMs())
+
+    /** Refuses new calls from now on. */
+    fun drain() = isDraining.set(true)
+
+    /** Queues [request]; [onAnswer] is called exactly once, from any thread. */
+    fun submit(request: CallRequest, onAnswer: (CallAnswer) -> Unit) {
+        val nowMs = clocks.monotonic.nowMs()
+        val remainingMs = minOf(request.remainingMs, maxRemainingMs())
+        val dueAtWallMs = clocks.wall.nowMs() + remainingMs
+        val call = PendingCall(request, nowMs, nowMs + remainingMs, dueAtWallMs, onAnswer)
+        val answer =
+            refusal(request)
+                ?: call.claimKey?.let { runner.knownAnswer(it, request.bodyHash) }
+                ?: (queue.offer(call, nowMs) as? AdmissionDecision.Refused)
+                    ?.let { CallAnswer.Refused(it.code, it.message, it.retryAfterMs) }
+        answer?.let(call::answer)
+    }
+
+    /** Forbids the call of [cancel] for ever, unless it was claimed before. */
+    fun cancel(cancel: CallCancel, onAnswer: (CallAnswer) -> Unit) {
+        val key = claimKey(cancel.workspace, cancel.idempotencyKey)
+        val known =
+            if (cancel.service != holding.service) {
+                CallAnswer.Unknown("this sidecar serves ${holding.service}")
+            } else {
+                runner.knownAnswer(key, cancel.bodyHash)
+            }
+        if (known != null) return onAnswer(known)
+        val nonce = "cancel-${UUID.randomUUID()}"
+        val operation = ClaimOperation.Cancel(key, cancel.bodyHash, nonce)
+        claims.submit(operation, settings.cancelTimeoutMs, fresh = true)
+            .thenAccept { onAnswer(cancelAnswer(it)) }
+    }
+
+    /** Takes calls from the queue until the thread is interrupted. */
+    internal fun work() {
+        while (!Thread.currentThread().isInterrupted) {
+            queue.take(WORKER_WAIT_MS, clocks.monotonic::nowMs)?.let(::serve)
+        }
+    }
+
+    internal fun tick() {
+        queue.takeExpired(clocks.monotonic.nowMs()).forEach {
+            it.answerUnserved(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "the deadline passed while the call waited"
+            )
+        }
+    }
+
+    internal fun stop() {
+        drain()
+        queue.takeAll().forEach { it.answerUnserved(ResultCode.DRAINING, "the sidecar stops") }
+    }
+
+    private fun serve(call: PendingCall) {
+        val startMs = clocks.monotonic.nowMs()
+        var answer: CallAnswer? = CallAnswer.Unknown("internal error")
+        try {
+            answer = runner.run(call)
+        } finally {
+            queue.finished(clocks.monotonic.nowMs() - startMs)
+            if (answer == null) {
+                queue.park(call, clocks.monotonic.nowMs() + settings.holderPollMs)
+            } else {
+                call.answer(answer)
+            }
+        }
+    }
+
+    private fun refusal(request: CallRequest): CallAnswer? =
+        when {
+            isDraining.get() -> refused(ResultCode.DRAINING, "the sidecar is draining")
+            request.service != holding.service ->
+                refused(ResultCode.UNKNOWN_SERVICE, "this sidecar serves ${holding.service}")
+            request.idempotencyKey == null && request.method !in holding.idempotentMethods ->
+                refused(ResultCode.IDEMPOTENCY_KEY_MISSING, "${request.method} needs a key")
+            request.remainingMs <= 0 || isLate(request) ->
+                refused(ResultCode.DEADLINE_UNREACHABLE, "no time remains for the call")
+            else -> null
+        }
+
+    // A process that was frozen reads calls whose claims may have been dropped meanwhile.
+    private fun isLate(request: CallRequest): Boolean {
+        val sentAtMs = request.sentAtMs ?: return false
+        val latestMs = sentAtMs + request.remainingMs + claims.limits.clockSkewMs
+        return clocks.wall.nowMs() > latestMs
+    }
+
+    /** An execution must end well before the claim of its key is dropped. */
+    private fun maxRemainingMs() = claims.limits.retentionMs / 4
+
+    private fun cancelAnswer(result: ClaimResult): CallAnswer =
+        when (result) {
+            is ClaimResult.Unavailable -> CallAnswer.Unknown(result.message)
+            is ClaimResult.Decided ->
+                when (val decision = result.decision) {
+                    is ClaimDecision.Held ->
+                        if (runner.isDead(decision.claim)) {
+                            CallAnswer.Unknown("the call was claimed before and brought no result")
+                        } else {
+                            CallAnswer.InProgress
+                        }
+                    ClaimDecision.Full ->
+                        CallAnswer.Unknown("the bucket of the key has no room for a cancellation")
+                    else -> runner.settled(decision)
+                }
+        }
+
+    private companion object {
+        const val WORKER_WAIT_MS = 1_000L
+    }
+}
+
+/** Starts an executor that ends with [scope]. */
+fun callExecutor(
+    holding: Holding.Service,
+    service: PlainService,
+    claims: ClaimStore,
+    configuration: ConfigurationView,
+    scope: Scope,
+    settings: CallExecutorSettings = CallExecutorSettings(),
+    clocks: SidecarClocks = sidecarClocks()
+): CallExecutor {
+    val queue = CallQueue(settings, configuration.current.classes)
+    val runner = CallRunner(service, claims, settings, clocks)
+    val executor = CallExecutor(holding, claims, runner, queue, settings, clocks)
+    configuration.addListener { queue.update(it.classes) }
+    repeat(settings.concurrency) { scope.run("call-worker-$it", executor::work) }
+    scope.repeat("call-deadlines", { TICK_MS }, executor::tick)
+    scope.onClose(executor::stop)
+    return executor
+}
+
+private const val TICK_MS = 25L
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
@@ -0,0 +1,162 @@
+package org.jacinthlink.sidecar.calls
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
+import org.jacinthlink.api.CallAnswer
+import org.jacinthlink.api.CallRequest
+import org.jacinthlink.api.PlainCall
+import org.jacinthlink.api.PlainResult
+import org.jacinthlink.api.PlainService
+import org.jacinthlink.api.ResultCode
+import org.jacinthlink.decision.claims.Claim
+import org.jacinthlink.decision.claims.ClaimDecision
+import org.jacinthlink.decision.claims.ClaimOperation
+import org.jacinthlink.decision.claims.RecordedResult
+
+/** Claims and executes single calls. Safe for use by several threads. */
+internal class CallRunner(
+    private val service: PlainService,
+    private val claims: ClaimStore,
+    private val settings: CallExecutorSettings,
+    private val clocks: SidecarClocks
+) {
+    /** Attempts of this process that execute now. */
+    private val runningNonces = ConcurrentHashMap.newKeySet<String>()
+
+    /** Answers whose records are still on their way to the key-value service. */
+    private val unrecorded = ConcurrentHashMap<String, UnrecordedAnswer>()
+
+    private class UnrecordedAnswer(val bodyHash: String, val answer: CallAnswer)
+
+    /** Number of results that are not recorded yet. */
+    val unrecordedCount: Int get() = unrecorded.size
+
+    /** Answer to a repetition of a call that has ended, if this process knows of it. */
+    fun knownAnswer(key: String, bodyHash: String): CallAnswer? {
+        val pending = unrecorded[key]
+        return if (pending == null) {
+            claims.lastSeen(key)?.let { finalAnswer(it, bodyHash) }
+        } else if (pending.bodyHash == bodyHash) {
+            pending.answer
+        } else {
+            keyReused()
+        }
+    }
+
+    /** Runs [call] unless its key forbids it; null if another attempt may yet bring its result. */
+    fun run(call: PendingCall): CallAnswer? {
+        val key = call.claimKey ?: return runUnclaimed(call)
+        knownAnswer(key, call.request.bodyHash)?.let { return it }
+        val operation =
+            ClaimOperation.Begin(key, call.request.bodyHash, call.nonce, call.dueAtWallMs)
+        val timeoutMs = minOf(remainingMs(call), settings.claimTimeoutMs)
+        return when (val claimed = claims.submit(operation, timeoutMs, call.needsFreshRead).get()) {
+            is ClaimResult.Unavailable -> claimUnavailable(call, key, claimed.message)
+            is ClaimResult.Decided ->
+                when (val decision = claimed.decision) {
+                    ClaimDecision.Owned -> runClaimed(call, key)
+                    is ClaimDecision.Held -> held(call, decision.claim)
+                    else -> settled(decision)
+                }
+        }
+    }
+
+    /** Answer by a claim that no longer changes. */
+    fun settled(decision: ClaimDecision): CallAnswer =
+        when (decision) {
+            is ClaimDecision.Done -> replayed(decision.result)
+            ClaimDecision.Cancelled -> cancelled()
+            ClaimDecision.KeyReused -> keyReused()
+            ClaimDecision.Full ->
+                refused(ResultCode.CLAIM_UNAVAILABLE, "the bucket of the key has no room")
+            ClaimDecision.Owned, ClaimDecision.Released, is ClaimDecision.Held ->
+                CallAnswer.Unknown("the claim is not settled")
+        }
+
+    /** True if the claimer of [claim] had its time and brought no result. */
+    fun isDead(claim: Claim): Boolean =
+        claim.nonce !in runningNonces &&
+            clocks.wall.nowMs() > claim.dueAtMs + settings.deadClaimGraceMs
+
+    // A refusal must not say "not run" of a call that an earlier attempt may have run.
+    private fun claimUnavailable(call: PendingCall, key: String, message: String): CallAnswer {
+        val seen = claims.lastSeen(key)
+        return if (seen != null && seen.nonce != call.nonce) {
+            CallAnswer.Unknown("an earlier attempt claimed the call; $message")
+        } else {
+            refused(ResultCode.CLAIM_UNAVAILABLE, message)
+        }
+    }
+
+    private fun held(call: PendingCall, claim: Claim): CallAnswer? {
+        call.hasMetHolder = true
+        call.needsFreshRead = claim.nonce !in runningNonces
+        return when {
+            isDead(
+                claim
+            ) -> CallAnswer.Unknown("the attempt that claimed the call brought no result")
+            remainingMs(call) <= settings.holderPollMs -> CallAnswer.InProgress
+            else -> null
+        }
+    }
+
+    private fun runClaimed(call: PendingCall, key: String): CallAnswer {
+        val bodyHash = call.request.bodyHash
+        if (remainingMs(call) <= 0) {
+            claims.submitInBackground(ClaimOperation.Cancel(key, bodyHash, call.nonce))
+            return refused(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before the run")
+        }
+        runningNonces += call.nonce
+        val result = send(call)
+        if (result is PlainResult.NotSent) {
+            claims.submitInBackground(ClaimOperation.Release(key, call.nonce))
+        } else {
+            record(call, key, result)
+        }
+        runningNonces -= call.nonce
+        return answerOf(result)
+    }
+
+    private fun record(call: PendingCall, key: String, result: PlainResult) {
+        val bodyHash = call.request.bodyHash
+        val recorded =
+            (result as? PlainResult.Answered)
+                ?.let { RecordedResult(it.status, it.headers, it.body) }
+        val pending = UnrecordedAnswer(bodyHash, replayed(recorded))
+        unrecorded[key] = pending
+        claims.submitInBackground(ClaimOperation.Complete(key, bodyHash, call.nonce, recorded))
+            .whenComplete { _, _ -> unrecorded.remove(key, pending) }
+    }
+
+    private fun runUnclaimed(call: PendingCall): CallAnswer =
+        if (remainingMs(call) <= 0) {
+            refused(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before the run")
+        } else {
+            answerOf(send(call))
+        }
+
+    private fun send(call: PendingCall): PlainResult =
+        try {
+            service.call(plainCall(call.request), remainingMs(call))
+        } catch (e: Exception) {
+            logger.error(e) { "event=call_failed request_id=${call.request.requestId.value}" }
+            PlainResult.Unknown("internal error: ${e.javaClass.simpleName}")
+        }
+
+    private fun remainingMs(call: PendingCall) = call.deadlineMs - clocks.monotonic.nowMs()
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
+
+private fun plainCall(request: CallRequest) =
+    PlainCall(request.method, request.path, request.headers, request.body)
+
+private fun answerOf(result: PlainResult): CallAnswer =
+    when (result) {
+        is PlainResult.Answered ->
+            CallAnswer.Executed(result.status, result.headers, result.body)
+        is PlainResult.NotSent -> refused(ResultCode.NO_BACKEND_SERVER, result.message)
+        is PlainResult.Unknown -> CallAnswer.Unknown(result.message)
+    }
