--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -1,9 +1,5 @@
 package org.jacinthlink.runtime.daemon
 
-import io.micrometer.core.instrument.Gauge
-import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
-import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics
-import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.util.concurrent.CountDownLatch
@@ -12,6 +8,7 @@
 import kotlin.random.Random
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.jacinthlink.api.Headers
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ListedInstance
@@ -26,6 +23,7 @@
 import org.jacinthlink.runtime.events.eventLog
 import org.jacinthlink.runtime.events.logicalClock
 import org.jacinthlink.runtime.http.HttpServer
+import org.jacinthlink.runtime.http.HttpTraffic
 import org.jacinthlink.runtime.http.ObservingPeerClient
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.http.peerClient
@@ -70,8 +68,11 @@
     override val configurationEditor: ConfigurationEditor = newEditor()
 
     private val subscribers = DescribeSubscribers()
+    private val announcer =
+        Announcer(::describe, { subscribers.recent(clock.nowMs()) }, controlClient)
     private val drainStarted = AtomicBoolean(false)
     private val stopStarted = AtomicBoolean(false)
+    private val listening = CountDownLatch(1)
     private val stopped = CountDownLatch(1)
     lateinit var logic: DaemonLogic
         private set
@@ -86,11 +87,21 @@
 
     fun start(makeLogic: (DaemonContext) -> DaemonLogic) {
         logic = makeLogic(this)
-        bindMeters()
         val endpoints = DaemonEndpoints(this)
-        server = startHttpServer(settings.host, settings.port, setup.limits, endpoints::handle)
+        val started =
+            startHttpServer(
+                settings.host,
+                settings.port,
+                setup.limits,
+                endpoints::isControl,
+                endpoints::handle
+            )
+        server = started
+        listening.countDown()
+        bindDaemonMeters(meters, this, logic, started)
         membership.start(scope.child("membership"))
         sync.start(scope.child("configuration"))
+        announcer.start(scope)
         if (setup.stopOnSignal) stopOnSignal()
         eventLog.record("started", null, "address" to address, "role" to setup.role)
     }
@@ -99,7 +110,7 @@
         if (!drainStarted.compareAndSet(false, true)) return
         eventLog.record("drain_started", null, "open_work" to logic.openWork())
         // Not a daemon thread: the process must not end before its work does.
-        thread(name = "drain") { Drain(this, logic, controlClient, subscribers).run() }
+        thread(name = "drain") { Drain(this, logic, announcer).run() }
     }
 
     override fun awaitStopped() = stopped.await()
@@ -113,6 +124,12 @@
         stopped.countDown()
     }
 
+    /** What the server of this process served so far. */
+    fun traffic(): HttpTraffic? = server?.traffic
+
+    /** Waits until the port is known; the first request can come before that. */
+    fun awaitListening() = listening.await()
+
     fun describe(): InstanceDescription {
         val state = logic.state()
         return InstanceDescription(
@@ -136,8 +153,10 @@
 
     fun scrapeMetrics(): String = meters.scrape()
 
-    fun withAnswerHeaders(response: Response): Response =
-        protocol.withAnswerHeaders(response, instance.takeIf { draining })
+    fun withAnswerHeaders(response: Response, toPeer: Boolean): Response {
+        val answer = if (toPeer) protocol.withAnswerHeaders(response) else response
+        return if (draining) answer.header(Headers.DRAINING, instance.value) else answer
+    }
 
     fun handlerFailed(request: Request, cause: Throwable) {
         meters.counter("jacinthlink.handler.failures").increment()
@@ -188,18 +207,6 @@
             eventLog
         )
 
-    private fun bindMeters() {
-        JvmMemoryMetrics().bindTo(meters)
-        JvmThreadMetrics().bindTo(meters)
-        ProcessorMetrics().bindTo(meters)
-        Gauge.builder("jacinthlink.configuration.revision") { configuration.current.revision }
-            .register(meters)
-        Gauge.builder("jacinthlink.membership.instances") { membership.instances().size }
-            .register(meters)
-        Gauge.builder("jacinthlink.draining") { if (draining) 1 else 0 }.register(meters)
-        Gauge.builder("jacinthlink.open.work") { logic.openWork() }.register(meters)
-    }
-
     private fun stopOnSignal() =
         Runtime.getRuntime().addShutdownHook(
             Thread {
--- a/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/StandInServer.kt
@@ -5,7 +5,9 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -31,9 +33,16 @@
     private val onCrash: () -> Unit = {},
     private val handler: HttpHandler
 ) : RunningProcess {
-    private val limits = ServerLimits(workerThreads = workerThreads, maxBodyBytes = MAX_BODY_BYTES)
+    private val limits = ServerLimits(
+        workerThreads = workerThreads,
+        maxBodyBytes = MAX_BODY_BYTES,
+        maxConnections = MAX_CONNECTIONS
+    )
     private val stopped = CountDownLatch(1)
     private val timer = daemonTimer("stand-in-timer")
+
+    // Set at once by a crash, as calls may still arrive while the server closes.
+    @Volatile private var isDown = false
     private var server: HttpServer? = startHttpServer(host, requestedPort, limits, ::serve)
     private val port = server!!.port
 
@@ -55,6 +64,7 @@
      * Returns at once, because the server waits for its handlers when it stops.
      */
     fun crash(downMs: Long?) {
+        isDown = true
         if (downMs == null) Runtime.getRuntime().halt(CRASH_EXIT_STATUS)
         thread(isDaemon = true, name = "stand-in-crash") {
             closeServer()
@@ -84,11 +94,17 @@
     }
 
     private fun serve(request: Request): Response =
-        if (request.method == Method.POST && request.uri.path == "/control/crash") {
-            crash(request.decode(CrashOrder.serializer()).downMs)
-            silentResponse()
-        } else {
-            handler(request)
+        try {
+            when {
+                isDown -> silentResponse()
+                request.method == Method.POST && request.uri.path == "/control/crash" -> {
+                    crash(request.decode(CrashOrder.serializer()).downMs)
+                    silentResponse()
+                }
+                else -> handler(request)
+            }
+        } catch (e: SerializationException) {
+            Response(Status.BAD_REQUEST).body("unreadable request: ${e.message}")
         }
 
     @Synchronized
@@ -108,11 +124,14 @@
     @Synchronized
     private fun tryReopen(): Boolean {
         if (stopped.count == 0L || server != null) return true
+        isDown = false
         server = runCatching { startHttpServer(host, port, limits, ::serve) }.getOrNull()
         return server != null
     }
 
     private companion object {
+        // In an outage, calls without an answer add up.
+        const val MAX_CONNECTIONS = 20_000
         const val MAX_BODY_BYTES = 16_777_216L
         const val CRASH_EXIT_STATUS = 70
         const val REOPEN_ATTEMPTS = 100
@@ -125,11 +144,24 @@
         Thread(task, name).apply { isDaemon = true }
     }
 
-/** An answer that never comes, as if it was lost on the way. */
-internal fun silentResponse(): Response = Response(Status.OK).body(PushBody { })
+/**
+ * An answer that never comes, as if it was lost on the way. The connection is closed in the end,
+ * because the server does not notice that a caller gave up while it writes nothing.
+ */
+internal fun silentResponse(): Response =
+    Response(Status.OK).body(
+        PushBody { sink ->
+            SilenceTimer.schedule(sink::abort, MAX_SILENCE_SECONDS, TimeUnit.SECONDS)
+        }
+    )
+
+private val SilenceTimer = daemonTimer("stand-in-silence")
+
+// Longer than any timeout of a caller.
+private const val MAX_SILENCE_SECONDS = 130L
 
-internal fun <T> Request.decode(serializer: kotlinx.serialization.KSerializer<T>): T =
+internal fun <T> Request.decode(serializer: KSerializer<T>): T =
     ProtocolJson.decodeFromString(serializer, bodyString().ifEmpty { "{}" })
 
-internal fun <T> okJson(serializer: kotlinx.serialization.KSerializer<T>, value: T): Response =
+internal fun <T> okJson(serializer: KSerializer<T>, value: T): Response =
     jsonResponse(Status.OK, ProtocolJson.encodeToString(serializer, value))
