Keep a stream's state on a stage that was told its epoch is stale

Change: a stale answer suspends the stream until a newer epoch arrives, and a reroute order refuses older epochs even if the stream is not known yet.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -23,7 +23,7 @@
  */
 internal class StageState(private val self: RouteStage, private val limits: StageLimits) {
     private val streams = LinkedHashMap<StreamKey, StageStream>()
-    private val released = RecentKeys(RELEASED_CAPACITY)
+    private val refused = RefusedStreams(REFUSED_CAPACITY)
     private val freed = ArrayList<StreamKey>()
     private val step = StageStep(limits)
     private var flights = 0L
@@ -35,7 +35,8 @@
     fun receive(item: HopItem, nowMs: Long): HopAckItem {
         val stream = streams[item.stream]
         return when {
-            item.stream in released -> acknowledge(item, HopStatus.STALE_EPOCH, 0)
+            refused.isRefused(item.stream, item.epoch) ->
+                acknowledge(item, HopStatus.STALE_EPOCH, 0)
             !isForSelf(item) -> acknowledge(item, HopStatus.WRONG_LAYERS, 0)
             stream != null -> receive(stream, item, nowMs)
             item.firstPosition > 0 -> acknowledge(item, HopStatus.GAP, 0)
@@ -177,8 +178,9 @@
             HopStatus.ACCEPTED, HopStatus.DUPLICATE ->
                 stream.sendFrom = maxOf(sentEnd, minOf(answer.expectedPosition, stream.ran))
             HopStatus.GAP -> stream.sendFrom = answer.expectedPosition
-            // A newer route may have come while the message was on its way.
-            HopStatus.STALE_EPOCH -> if (stream.epoch == item.epoch) remove(stream.key)
+            // The route has changed. This stage may still be part of it, so its state is kept until a
+            // message of the newer epoch arrives or the stream is idle for long.
+            HopStatus.STALE_EPOCH -> if (stream.epoch == item.epoch) stream.suspended = true
             HopStatus.WRONG_LAYERS ->
                 return suspend(stream, "the next stage holds other layers")
         }
@@ -226,6 +228,8 @@
 
     /** Sends a stream on another route. */
     fun reroute(order: Reroute): RerouteStatus {
+        // Items of older epochs, which a replaced stage may still send, come too late from now on.
+        refused.refuseUpTo(order.stream, order.epoch - 1)
         val stream = streams[order.stream] ?: return RerouteStatus.UNKNOWN_STREAM
         if (order.epoch <= stream.epoch) return RerouteStatus.STALE_EPOCH
         val isChanged = order.route.firstOrNull()?.instance != stream.next?.instance
@@ -237,7 +241,7 @@
 
     /** Frees [stream]. Late messages of it are refused from now on. */
     fun release(stream: StreamKey): Boolean {
-        released.add(stream)
+        refused.refuse(stream)
         return remove(stream) != null
     }
 
@@ -277,6 +281,6 @@
         HopAckItem(item.stream, status, expectedPosition)
 
     private companion object {
-        const val RELEASED_CAPACITY = 8_192
+        const val REFUSED_CAPACITY = 8_192
     }
 }
