--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
@@ -31,6 +31,7 @@
     fun start() {
         heads.start()
         chat.start()
+        calls.start()
     }
 
     fun handle(request: Request): Response {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
@@ -35,6 +35,8 @@
     /** Calls in execution. */
     val openRequests: Int get() = open.get()
 
+    fun start() = directory.start()
+
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> dispatch(accepted.value)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
@@ -17,6 +17,13 @@
     val loads = LoadTable()
     val failures = FailureHistory()
 
+    fun start() =
+        context.scope.repeat("service-loads", { REFRESH_MS }) {
+            loads.refresh(
+                context.membership.instances().filter { it.description.holding is Holding.Service }
+            )
+        }
+
     /** Methods of [service] that may be repeated; null if no instance ever offered it. */
     fun idempotentMethods(service: String): Set<String>? {
         val offered =
@@ -49,22 +56,27 @@
             .map(byInstance::getValue)
     }
 
-    private fun byLoad(sidecars: List<InstanceDescription>): List<InstanceDescription> {
-        loads.refresh(context.membership.instances())
-        return sidecars.shuffled().sortedWith(
-            compareBy(
-                {
-                    val load = loads[it.instance]
-                    val report = load.report
-                    load.inFlight + (report?.queuedRequests ?: 0) + (report?.runningStreams ?: 0)
-                },
-                { it.availabilityZone != context.availabilityZone }
+    private fun byLoad(sidecars: List<InstanceDescription>): List<InstanceDescription> =
+        sidecars
+            .shuffled()
+            .sortedWith(
+                compareBy({
+                    work(it)
+                }, { it.availabilityZone != context.availabilityZone })
             )
-        )
+
+    private fun work(sidecar: InstanceDescription): Int {
+        val load = loads[sidecar.instance]
+        val report = load.report ?: return load.inFlight
+        return load.inFlight + report.queuedRequests + report.runningStreams
     }
 
     private fun sidecars(service: String): List<InstanceDescription> =
         context.membership.instances().map { it.description }.filter {
             (it.holding as? Holding.Service)?.service == service
         }
+
+    private companion object {
+        const val REFRESH_MS = 500L
+    }
 }
