Keep a key bound to its call after a release

The refusal of a call for the content of its key counts as final: the entry tells the caller "not run" even if an earlier attempt is of unknown fate. A release dropped the claim, so an attempt that was delayed meanwhile could claim the key for the refused content and run. A released claim now stays in its bucket and can be claimed again for the same content only.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketEdit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketEdit.kt
@@ -21,28 +21,29 @@
 
     private fun begin(operation: ClaimOperation.Begin): ClaimDecision {
         val present = claims[operation.key]
-        if (present != null) return decide(present, operation.bodyHash, operation.nonce)
+        decide(present, operation.bodyHash, operation.nonce)?.let { return it }
         val claim =
             newClaim(operation, operation.bodyHash, ClaimState.CLAIMED)
                 .copy(dueAtMs = operation.dueAtMs)
         return if (put(claim)) ClaimDecision.Owned else ClaimDecision.Full
     }
 
-    private fun decide(claim: Claim, bodyHash: String, nonce: String): ClaimDecision =
+    /** Decision by the claim that is present; null if the call is free to be claimed. */
+    private fun decide(claim: Claim?, bodyHash: String, nonce: String): ClaimDecision? =
         when {
+            claim == null -> null
             claim.bodyHash != bodyHash -> ClaimDecision.KeyReused
             claim.state == ClaimState.DONE -> ClaimDecision.Done(claim.result)
             claim.state == ClaimState.CANCELLED -> ClaimDecision.Cancelled
+            claim.state == ClaimState.RELEASED -> null
             claim.nonce == nonce -> ClaimDecision.Owned
             else -> ClaimDecision.Held(claim)
         }
 
     private fun complete(operation: ClaimOperation.Complete): ClaimDecision {
         val present = claims[operation.key]
-        if (present != null) {
-            val decision = decide(present, operation.bodyHash, operation.nonce)
-            if (decision != ClaimDecision.Owned) return decision
-        }
+        val decision = decide(present, operation.bodyHash, operation.nonce)
+        if (decision != null && decision != ClaimDecision.Owned) return decision
         val done =
             newClaim(operation, operation.bodyHash, ClaimState.DONE)
                 .copy(claimedAtMs = present?.claimedAtMs ?: nowMs)
@@ -59,10 +60,8 @@
 
     private fun cancel(operation: ClaimOperation.Cancel): ClaimDecision {
         val present = claims[operation.key]
-        if (present != null) {
-            val decision = decide(present, operation.bodyHash, operation.nonce)
-            if (decision != ClaimDecision.Owned) return decision
-        }
+        val decision = decide(present, operation.bodyHash, operation.nonce)
+        if (decision != null && decision != ClaimDecision.Owned) return decision
         val cancelled = newClaim(operation, operation.bodyHash, ClaimState.CANCELLED)
         return if (put(cancelled)) ClaimDecision.Cancelled else ClaimDecision.Full
     }
@@ -70,9 +69,7 @@
     private fun release(operation: ClaimOperation.Release): ClaimDecision {
         val present = claims[operation.key]
         if (present?.nonce == operation.nonce && present.state == ClaimState.CLAIMED) {
-            claims.remove(operation.key)
-            sizeBytes -= present.sizeBytes
-            isChanged = true
+            replace(present.copy(state = ClaimState.RELEASED))
         }
         return ClaimDecision.Released
     }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimOperation.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimOperation.kt
@@ -25,6 +25,10 @@
     data class Cancel(override val key: String, val bodyHash: String, override val nonce: String) :
         ClaimOperation
 
-    /** Removes the claim of an attempt that did not execute and never will. */
+    /**
+     * Lets another attempt claim the call after one that did not execute and never will.
+     *
+     * The key stays bound to its call: the refusal of another call with the key is final.
+     */
     data class Release(override val key: String, override val nonce: String) : ClaimOperation
 }
--- a/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimScheduleSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimScheduleSpec.kt
@@ -16,7 +16,7 @@
 class ClaimScheduleSpec :
     DescribeSpec({
         describe("random schedules") {
-            it("execute each key at most once and never after a refusal or cancellation") {
+            it("execute each key at most once and never against a refusal or cancellation") {
                 val firstSeed = System.getProperty("claims.seed")?.toLong() ?: 1L
                 println("claim schedules: seeds $firstSeed to ${firstSeed + SCHEDULES - 1}")
                 val seen = mutableMapOf<String, Int>()
@@ -24,7 +24,7 @@
                     val seed = firstSeed + index
                     val world = ClaimWorld(Random(seed))
                     world.run(STEPS)
-                    world.attempts.map { it.key }.distinct().forEach(world::checkCancelled)
+                    world.checkFinalRefusals()
                     withClue("seed=$seed") { world.faults.shouldBeEmpty() }
                     world.seen.forEach { (event, count) -> seen.merge(event, count, Int::plus) }
                 }
@@ -33,6 +33,7 @@
                     "executed",
                     "replayed",
                     "cancelled",
+                    "key reused",
                     "pruned",
                     "crash",
                     "late write took effect"
--- a/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimWorld.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/claims/ClaimWorld.kt
@@ -8,9 +8,22 @@
 private const val CALL_WINDOW_MS = 300L
 private const val ATTEMPT_LIFE_MS = 100L
 
-internal enum class Fate { PENDING, OWNED, EXECUTED, REFUSED, UNKNOWN, REPLAYED, CANCELLED }
+internal enum class Fate {
+    PENDING,
+    OWNED,
+    EXECUTED,
+    REFUSED,
+    UNKNOWN,
+    REPLAYED,
+    CANCELLED,
+    KEY_REUSED
+}
 
-internal class Attempt(val operation: ClaimOperation, val deadlineMs: Long) {
+internal class Attempt(
+    val operation: ClaimOperation,
+    val deadlineMs: Long,
+    val hash: String = "hash"
+) {
     val key = operation.key
     var fate = Fate.PENDING
 }
@@ -35,8 +48,9 @@
     private val sidecars = List(3) { newSidecar() }.toMutableList()
     private val firstCallMs = mutableMapOf<String, Long>()
     private var nonces = 0
-    val attempts = mutableListOf<Attempt>()
-    val executions = mutableMapOf<String, Int>()
+    private val ran = mutableSetOf<Pair<String, String>>()
+    private val attempts = mutableListOf<Attempt>()
+    private val executions = mutableMapOf<String, Int>()
     val seen = mutableMapOf<String, Int>()
     val faults = mutableListOf<String>()
 
@@ -66,13 +80,14 @@
             nowMs <= firstCallMs.getOrPut(it) { nowMs } + CALL_WINDOW_MS
         }
         val nonce = "n${nonces++}"
+        val hash = if (random.nextInt(6) == 0) "other" else "hash"
         val operation =
             if (random.nextInt(10) == 0) {
-                ClaimOperation.Cancel(key, "hash", nonce)
+                ClaimOperation.Cancel(key, hash, nonce)
             } else {
-                ClaimOperation.Begin(key, "hash", nonce, nowMs + ATTEMPT_LIFE_MS)
+                ClaimOperation.Begin(key, hash, nonce, nowMs + ATTEMPT_LIFE_MS)
             }
-        val attempt = Attempt(operation, nowMs + ATTEMPT_LIFE_MS)
+        val attempt = Attempt(operation, nowMs + ATTEMPT_LIFE_MS, hash)
         attempts += attempt
         sidecar.waiting += attempt
     }
@@ -156,6 +171,7 @@
             ClaimDecision.Cancelled -> Fate.CANCELLED.also { note("cancelled") }
             is ClaimDecision.Done -> Fate.REPLAYED.also { note("replayed") }
             is ClaimDecision.Held -> Fate.UNKNOWN
+            ClaimDecision.KeyReused -> Fate.KEY_REUSED.also { note("key reused") }
             else -> Fate.REFUSED
         }
 
@@ -172,7 +188,7 @@
         when {
             nowMs > attempt.deadlineMs -> {
                 attempt.fate = Fate.REFUSED
-                sidecar.followUp(ClaimOperation.Cancel(attempt.key, "hash", nonce))
+                sidecar.followUp(ClaimOperation.Cancel(attempt.key, attempt.hash, nonce))
             }
             random.nextInt(5) == 0 -> {
                 attempt.fate = Fate.REFUSED
@@ -181,7 +197,7 @@
             else -> {
                 execute(attempt)
                 val result = RecordedResult(200, emptyMap(), "ok")
-                sidecar.followUp(ClaimOperation.Complete(attempt.key, "hash", nonce, result))
+                sidecar.followUp(ClaimOperation.Complete(attempt.key, attempt.hash, nonce, result))
             }
         }
     }
@@ -191,14 +207,20 @@
         if (attempt.fate == Fate.REFUSED) faults += "an attempt ran after its refusal"
         attempt.fate = Fate.EXECUTED
         if (executions.merge(attempt.key, 1, Int::plus)!! > 1) faults += "${attempt.key} ran twice"
-        checkCancelled(attempt.key)
+        ran += attempt.key to attempt.hash
     }
 
-    /** A cancelled key must not run, neither before the cancellation nor after it. */
-    fun checkCancelled(key: String) {
-        val cancelled = attempts.any { it.key == key && it.fate == Fate.CANCELLED }
-        if (cancelled && (executions[key] ?: 0) > 0) faults += "$key is cancelled and ran"
-    }
+    /** A cancelled key, and a call refused for its content, never run, before or after. */
+    fun checkFinalRefusals() =
+        attempts.forEach { attempt ->
+            val isFault =
+                when (attempt.fate) {
+                    Fate.CANCELLED -> attempt.key in executions
+                    Fate.KEY_REUSED -> (attempt.key to attempt.hash) in ran
+                    else -> false
+                }
+            if (isFault) faults += "${attempt.key} ran and is ${attempt.fate}"
+        }
 
     private fun note(event: String) = seen.merge(event, 1, Int::plus)
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.decision.claims.Claim
 import org.jacinthlink.decision.claims.ClaimDecision
 import org.jacinthlink.decision.claims.ClaimOperation
+import org.jacinthlink.decision.claims.ClaimState
 import org.jacinthlink.decision.claims.RecordedResult
 
 /** Claims and executes single calls. Safe for use by several threads. */
@@ -81,7 +82,8 @@
     // A refusal must not say "not run" of a call that an earlier attempt may have run.
     private fun claimUnavailable(call: PendingCall, key: String, message: String): CallAnswer {
         val seen = claims.lastSeen(key)
-        return if (seen != null && seen.nonce != call.nonce) {
+        val isClaimed = seen?.state == ClaimState.CLAIMED && seen.nonce != call.nonce
+        return if (isClaimed) {
             CallAnswer.Unknown("an earlier attempt claimed the call; $message")
         } else {
             refused(ResultCode.CLAIM_UNAVAILABLE, message)
