--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
@@ -54,7 +54,14 @@
     fun addStage(name: String, model: String, stagePlan: StagePlan): SiteStage {
         val layerCount = layerCountOf(model)
         val order = LoadOrder(model, stagePlan.firstLayer, stagePlan.endLayer, layerCount, 0)
-        val engine = startEngineStandIn(EngineSettings(initial = order, speed = stagePlan.speed))
+        val engine =
+            startEngineStandIn(
+                EngineSettings(
+                    initial = order,
+                    speed = stagePlan.speed,
+                    crashWord = plan.crashWord
+                )
+            )
         val holding =
             Holding.Stage(
                 model,
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
@@ -3,14 +3,19 @@
 import org.jacinthlink.api.WorkClass
 import org.jacinthlink.standins.EngineSpeed
 
-/** A whole system with stand-ins for everything outside it, on one machine. */
+/**
+ * A whole system with stand-ins for everything outside it, on one machine.
+ *
+ * @property crashWord Prompt token that crashes each engine that runs it.
+ */
 data class SitePlan(
     val entries: Int,
     val zones: List<String>,
     val pipelines: List<PipelinePlan>,
     val services: List<ServicePlan>,
     val classes: List<WorkClass>,
-    val instanceListLagMs: Long = 0
+    val instanceListLagMs: Long = 0,
+    val crashWord: String? = null
 )
 
 /** A chain of stages that hold all layers of [model], one backend server for each stage. */
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StartSidecar.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StartSidecar.kt
@@ -42,5 +42,5 @@
 private fun sidecarLogic(settings: SidecarSettings, context: DaemonContext): DaemonLogic =
     when (val holding = settings.holding) {
         is Holding.Stage -> StageLogic(settings, holding, context)
-        is Holding.Service -> ServiceLogic(holding)
+        is Holding.Service -> ServiceLogic(settings, holding, context)
     }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
@@ -15,7 +15,7 @@
  */
 data class ClaimStoreSettings(
     val bucketCount: Int = 16,
-    val writeIntervalMs: Long = 20,
+    val writeIntervalMs: Long = 50,
     val readIntervalMs: Long = 200,
     val maxBackoffMs: Long = 250,
     val recordTimeoutMs: Long = 600_000,
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineServer.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineServer.kt
@@ -28,10 +28,12 @@
     private val report = LaggingValue(EngineLoad(0, 0))
 
     @Volatile private var speed = settings.speed
+    private var crashCount = 0
     private val server: StandInServer =
         StandInServer(settings.host, settings.port, WORKERS, ::crashed, handler())
 
     override val address: String get() = server.address
+    override val crashes: Int get() = stateLock.withLock { crashCount }
     override val orderViolations: Int get() = stateLock.withLock { state.orderViolations }
 
     override fun executions(requestId: RequestId): EngineExecutions =
@@ -125,6 +127,7 @@
     }
 
     private fun crashed() = stateLock.withLock {
+        crashCount++
         state.crash()
         reportLoad()
     }
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineStandIn.kt
@@ -8,6 +8,9 @@
     /** Inputs of any request that did not continue their stream since the start. */
     val orderViolations: Int
 
+    /** Crashes since the start. */
+    val crashes: Int
+
     /** What ran for [requestId]. The record survives crashes of the engine. */
     fun executions(requestId: RequestId): EngineExecutions
 
