--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/ServiceLogic.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/ServiceLogic.kt
@@ -2,18 +2,42 @@
 
 import org.http4k.core.HttpHandler
 import org.jacinthlink.api.Holding
-import org.jacinthlink.api.ResultCode
+import org.jacinthlink.platform.httpPlainService
+import org.jacinthlink.runtime.daemon.DaemonContext
 import org.jacinthlink.runtime.daemon.DaemonLogic
 import org.jacinthlink.runtime.daemon.DaemonState
-import org.jacinthlink.runtime.http.errorResponse
+import org.jacinthlink.sidecar.calls.CallExecutor
+import org.jacinthlink.sidecar.calls.callExecutor
+import org.jacinthlink.sidecar.calls.callRoutes
+import org.jacinthlink.sidecar.calls.claimStore
 
-/** Daemon logic beside a plain service. Not ready until the call path is wired in. */
-internal class ServiceLogic(private val holding: Holding.Service) : DaemonLogic {
-    override val handler: HttpHandler = {
-        errorResponse(ResultCode.NO_BACKEND_SERVER, "calls to plain services are not served yet")
-    }
+/** Daemon logic beside a plain service. */
+internal class ServiceLogic(
+    private val holding: Holding.Service,
+    private val executor: CallExecutor
+) : DaemonLogic {
+    override val handler: HttpHandler = callRoutes(executor)
 
-    override fun state() = DaemonState(ready = false, holding = holding)
+    override fun state() = DaemonState(ready = true, holding = holding, load = executor.load())
 
-    override fun openWork(): Int = 0
+    override fun openWork(): Int = executor.openCalls
+
+    override fun onDrain() = executor.drain()
+}
+
+/** Assembles the call path to the plain service of [settings]. */
+internal fun serviceLogic(
+    settings: SidecarSettings,
+    holding: Holding.Service,
+    context: DaemonContext
+): ServiceLogic {
+    val scope = context.scope.child("calls")
+    val claims = claimStore(holding.service, context.platform.keyValue)
+    // Registered first, so that it closes after the workers that record their results in it.
+    scope.onClose(claims::close)
+    val service = httpPlainService(context.externalClient, settings.backendServerUrl)
+    return ServiceLogic(
+        holding,
+        callExecutor(holding, service, claims, context.configuration, scope)
+    )
 }
