--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
@@ -7,6 +7,9 @@
 import org.jacinthlink.runtime.daemon.DaemonContext
 import org.jacinthlink.runtime.daemon.DaemonLogic
 import org.jacinthlink.runtime.daemon.DaemonState
+import org.jacinthlink.sidecar.calls.sidecarClocks
+import org.jacinthlink.sidecar.orders.engineOrders
+import org.jacinthlink.sidecar.orders.orderLease
 import org.jacinthlink.sidecar.stage.StageDaemon
 import org.jacinthlink.sidecar.stage.StageParts
 import org.jacinthlink.sidecar.stage.engineLoader
@@ -42,7 +45,8 @@
     private fun assemble(): StageDaemon {
         val engine = httpModelEngine(context.externalClient, settings.backendServerUrl)
         val weights = httpWeightStore(context.externalClient, settings.weightStoreUrl)
-        val keyValue = context.platform.keyValue
+        val lease = orderLease(context.platform.keyValue, scope, sidecarClocks().monotonic)
+        val orders = engineOrders(engine)
         return stageDaemon(
             StageParts(
                 instance = context.instance,
@@ -50,7 +54,7 @@
                 availabilityZone = context.settings.availabilityZone,
                 holding = holding,
                 engine = engine,
-                loadEngine = engineLoader(holding, engine, weights, keyValue),
+                loadEngine = engineLoader(holding, weights) { orders.load(lease, holding) },
                 client = context.peerClient,
                 membership = context.membership,
                 configuration = context.configuration,
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -66,7 +66,7 @@
 
     /** Inputs of the next step; empty if no stream has any. */
     fun nextStep(): List<EngineInput> {
-        val selected = step.select(streams.values.filter { it.canStep })
+        val selected = step.select(streams.values.filter { it.canStep }, streams.size)
         // A stream that ran goes to the end, so that each prompt gets its turn.
         selected.forEach { input ->
             streams[input.stream] = streams.remove(input.stream)!!
@@ -178,8 +178,8 @@
             HopStatus.ACCEPTED, HopStatus.DUPLICATE ->
                 stream.sendFrom = maxOf(sentEnd, minOf(answer.expectedPosition, stream.ran))
             HopStatus.GAP -> stream.sendFrom = answer.expectedPosition
-            // The route has changed. This stage may still be part of it, so its state is kept until a
-            // message of the newer epoch arrives or the stream is idle for long.
+            // The route has changed. This stage may still be part of it, so its state is kept until
+            // a message of the newer epoch arrives or the stream is idle for long.
             HopStatus.STALE_EPOCH -> if (stream.epoch == item.epoch) stream.suspended = true
             HopStatus.WRONG_LAYERS ->
                 return suspend(stream, "the next stage holds other layers")
@@ -240,9 +240,8 @@
     }
 
     /** Frees [stream]. Late messages of it are refused from now on. */
-    fun release(stream: StreamKey): Boolean {
-        refused.refuse(stream)
-        return remove(stream) != null
+    fun release(stream: StreamKey) {
+        remove(stream)
     }
 
     /** Streams that had no input since [limitMs]. */
@@ -258,11 +257,15 @@
     /** Streams removed since the last call, whose KV state the engine must free. */
     fun takeFreed(): List<StreamKey> = freed.toList().also { freed.clear() }
 
-    private fun remove(key: StreamKey): StageStream? =
-        streams.remove(key)?.also {
+    // A stream never comes back to a stage that gave it up, but late messages of it may, and
+    // would run its first positions again.
+    private fun remove(key: StreamKey): StageStream? {
+        refused.refuse(key)
+        return streams.remove(key)?.also {
             retainedBytes -= it.outputs.sizeBytes
             freed += key
         }
+    }
 
     private fun trim(stream: StageStream) {
         val before = stream.outputs.sizeBytes
