Plan the flow over groups of interchangeable stages

The maximum flow may fill one stage and leave an equal one idle, so streams queued at the full one. Stages with the same layers now form one node of the graph and share its flow by capacity; the graph no longer grows with the instances.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/FlowNetwork.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/FlowNetwork.kt
@@ -5,54 +5,70 @@
 import org.jgrapht.graph.DefaultWeightedEdge
 import org.jgrapht.graph.SimpleDirectedWeightedGraph
 
-/** Graph of the stages of one model, solved for its maximum flow. */
+/**
+ * Graph of the stages of one model, solved for its maximum flow.
+ *
+ * Its nodes are groups of interchangeable stages, so that its size does not grow with the number of
+ * instances.
+ */
 internal class FlowNetwork(
-    private val stages: List<FlowStage>,
+    stages: List<FlowStage>,
     private val linkTokensPerSecond: Map<Pair<InstanceId, InstanceId>, Double>
 ) {
     private val graph =
         SimpleDirectedWeightedGraph<String, DefaultWeightedEdge>(DefaultWeightedEdge::class.java)
-    private val byInput = stages.associateBy(::inputOf)
+    private val limitedSources = linkTokensPerSecond.keys.map { it.first }.toSet()
+    private val limited = limitedSources + linkTokensPerSecond.keys.map { it.second }
+    private val groups =
+        stages
+            .filter { it.holding.tokensPerSecond > EPSILON }
+            .groupBy(::groupNameOf)
+            .map { (name, members) -> StageGroup(name, members) }
+    private val byInput = groups.associateBy(::inputOf)
 
     /** Flow from the source to the sink, split into complete routes. */
     fun solve(): List<FlowRoute> {
         build()
         val flow = DinicMFImpl(graph, EPSILON).getMaximumFlow(SOURCE, SINK).flowMap
         val rest = HashMap(flow.filterValues { it > EPSILON })
-        return generateSequence { takeRoute(rest) }.toList()
+        return generateSequence { takePath(rest) }
+            .flatMap { (path, tokensPerSecond) -> routesOf(path, tokensPerSecond) }
+            .toList()
     }
 
     private fun build() {
         graph.addVertex(SOURCE)
         graph.addVertex(SINK)
-        for (stage in stages) addStage(stage)
-        val limited = linkTokensPerSecond.keys.map { it.first }.toSet()
-        val inputsByLayer = stages.groupBy { it.holding.firstLayer }
-        for (stage in stages.filterNot { it.holding.isLast }) {
-            if (stage.instance in limited) {
-                linkEach(stage, inputsByLayer[stage.holding.endLayer].orEmpty())
+        for (group in groups) addGroup(group)
+        val byFirstLayer = groups.groupBy { it.holding.firstLayer }
+        for (group in groups.filterNot { it.holding.isLast }) {
+            if (group.isLimitedSource()) {
+                linkEach(group, byFirstLayer[group.holding.endLayer].orEmpty())
             } else {
-                link(outputOf(stage), boundaryOf(stage.holding.endLayer), UNLIMITED)
+                link(outputOf(group), boundaryOf(group.holding.endLayer), UNLIMITED)
             }
         }
     }
 
-    private fun addStage(stage: FlowStage) {
-        val boundary = boundaryOf(stage.holding.firstLayer)
-        graph.addVertex(inputOf(stage))
-        graph.addVertex(outputOf(stage))
+    private fun addGroup(group: StageGroup) {
+        val boundary = boundaryOf(group.holding.firstLayer)
+        graph.addVertex(inputOf(group))
+        graph.addVertex(outputOf(group))
         graph.addVertex(boundary)
-        graph.addVertex(boundaryOf(stage.holding.endLayer))
-        link(inputOf(stage), outputOf(stage), stage.holding.tokensPerSecond)
-        link(boundary, inputOf(stage), UNLIMITED)
-        if (stage.holding.isHead) link(SOURCE, inputOf(stage), UNLIMITED)
-        if (stage.holding.isLast) link(outputOf(stage), SINK, UNLIMITED)
+        graph.addVertex(boundaryOf(group.holding.endLayer))
+        link(inputOf(group), outputOf(group), group.capacity)
+        link(boundary, inputOf(group), UNLIMITED)
+        if (group.holding.isHead) link(SOURCE, inputOf(group), UNLIMITED)
+        if (group.holding.isLast) link(outputOf(group), SINK, UNLIMITED)
     }
 
-    private fun linkEach(stage: FlowStage, successors: List<FlowStage>) =
+    private fun linkEach(group: StageGroup, successors: List<StageGroup>) =
         successors.forEach { next ->
-            val capacity = linkTokensPerSecond[stage.instance to next.instance] ?: UNLIMITED
-            link(outputOf(stage), inputOf(next), capacity)
+            val from = group.single?.instance
+            val to = next.single?.instance
+            val capacity =
+                if (from == null || to == null) null else linkTokensPerSecond[from to to]
+            link(outputOf(group), inputOf(next), capacity ?: UNLIMITED)
         }
 
     private fun link(from: String, to: String, capacity: Double) {
@@ -60,7 +76,9 @@
     }
 
     // The graph has no cycles, so following positive flow from the source always ends at the sink.
-    private fun takeRoute(rest: MutableMap<DefaultWeightedEdge, Double>): FlowRoute? {
+    private fun takePath(
+        rest: MutableMap<DefaultWeightedEdge, Double>
+    ): Pair<List<StageGroup>, Double>? {
         val edges = ArrayList<DefaultWeightedEdge>()
         var vertex = SOURCE
         while (vertex != SINK) {
@@ -77,16 +95,38 @@
             val left = rest.getValue(edge) - amount
             if (left > EPSILON) rest[edge] = left else rest -= edge
         }
-        return FlowRoute(edges.mapNotNull { byInput[graph.getEdgeTarget(it)] }, amount)
+        return edges.mapNotNull { byInput[graph.getEdgeTarget(it)] } to amount
     }
 
-    // Stages without limited links meet in one vertex for each layer boundary, so that the number
-    // of edges grows with the stages and not with their pairs.
+    // Lays the members of each group of the path side by side from 0 to 1. Between two neighbouring
+    // ends of any group, one member of each group makes a route.
+    private fun routesOf(path: List<StageGroup>, tokensPerSecond: Double): List<FlowRoute> {
+        val routes = ArrayList<FlowRoute>()
+        var start = 0.0
+        for (end in path.flatMap { it.ends }.sorted()) {
+            if (end - start > SLIVER) {
+                val middle = (start + end) / 2
+                routes += FlowRoute(path.map { it.at(middle) }, (end - start) * tokensPerSecond)
+                start = end
+            }
+        }
+        return routes
+    }
+
+    private fun StageGroup.isLimitedSource(): Boolean =
+        single?.let { it.instance in limitedSources } ?: false
+
+    private fun groupNameOf(stage: FlowStage): String {
+        val range = "${stage.holding.firstLayer}-${stage.holding.endLayer}"
+        return if (stage.instance in limited) "$range:${stage.instance.value}" else range
+    }
+
+    // Groups without limited links meet in one vertex for each layer boundary.
     private fun boundaryOf(layer: Int) = "boundary:$layer"
 
-    private fun inputOf(stage: FlowStage) = "in:${stage.instance.value}"
+    private fun inputOf(group: StageGroup) = "in:${group.name}"
 
-    private fun outputOf(stage: FlowStage) = "out:${stage.instance.value}"
+    private fun outputOf(group: StageGroup) = "out:${group.name}"
 
     private companion object {
         const val SOURCE = "source"
@@ -95,5 +135,8 @@
 
         // Far below one token per second, and above the rounding of sums of capacities.
         const val EPSILON = 1e-6
+
+        // Parts this thin come from rounding.
+        const val SLIVER = 1e-9
     }
 }
--- a/decision/src/test/kotlin/org/jacinthlink/decision/routing/FlowPlanSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/routing/FlowPlanSpec.kt
@@ -73,6 +73,27 @@
                         (narrowest plusOrMinus 1e-3)
                 }
             }
+            // Guards against one stage that is planned full while an equal one beside it idles.
+            it("loads interchangeable stages by their capacity") {
+                checkAll(100, Arb.long(), Arb.int(1..20)) { seed, count ->
+                    val random = Random(seed)
+                    val stages =
+                        (0 until 4).flatMap { layer ->
+                            List(count) {
+                                stage("l$layer-$it", layer, layer + 1, 1.0 + random.nextInt(500))
+                            }
+                        }
+                    val plan = flowPlan("m", stages)
+                    stages.groupBy { it.holding.firstLayer }.values.forEach { layer ->
+                        val capacity = layer.sumOf { it.holding.tokensPerSecond }
+                        layer.forEach {
+                            val part = it.holding.tokensPerSecond / capacity
+                            plan.flowOf(it.instance) shouldBe
+                                (plan.boundTokensPerSecond * part plusOrMinus 1e-3)
+                        }
+                    }
+                }
+            }
             // Guards against a slow link that is planned as if it were free.
             it("respects the capacity of links") {
                 val stages = listOf(stage("a", 0, 2, 100.0), stage("b", 2, 4, 100.0))
