Count one crash once, whatever ran in its batch

A crash ends all requests of a batch. Only the crash of an isolated request now counts beside an earlier one, and an isolated request that ends well is no longer suspected.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -32,7 +32,6 @@
 
     @Synchronized
     fun start() {
-        isolated = parts.crashes.mode(job.chat.fingerprint, now()) == RunMode.ISOLATED
         responder.onDisconnect(::callerGone)
         dispatch()
     }
@@ -124,6 +123,7 @@
         }
         leave(attempt)
         parts.heads.failures.succeeded(attempt.head.instance)
+        if (isolated) parts.crashes.cleared(job.chat.fingerprint)
         responder.end(event.reason, tokens.size)
         finish(null)
     }
@@ -136,8 +136,8 @@
         if (!event.backendServerCrashed) {
             return onBroken(attempt, AttemptEnd(fate, event.message, event))
         }
-        isolated = true
-        if (parts.crashes.crashed(job.chat.fingerprint, now()) == RunMode.REFUSED) {
+        val crash = SeenCrash(job.chat.fingerprint, isolated)
+        if (parts.crashes.crashed(crash, now()) == RunMode.REFUSED) {
             ends += AttemptEnd(fate, event.message, event)
             leave(attempt)
             quarantine()
@@ -150,12 +150,21 @@
         val fingerprint = job.chat.fingerprint
         parts.crashes.quarantine(fingerprint, job.requestId, now()) {
             synchronized(this) {
-                val message = "the request crashed two backend servers; fingerprint $fingerprint"
-                if (!done) fail(ChatFailure(ResultCode.QUARANTINED, message, notRun = false))
+                if (!done) fail(quarantined())
             }
         }
     }
 
+    private fun quarantined(): ChatFailure {
+        val message = "the request crashed two backend servers"
+        val notRun = RetryRules.failure(ends, tokens.isNotEmpty()).notRun
+        return ChatFailure(
+            ResultCode.QUARANTINED,
+            "$message; fingerprint ${job.chat.fingerprint}",
+            notRun
+        )
+    }
+
     private fun isFaultOfHead(end: AttemptEnd): Boolean =
         end.refusal == null || end.refusal.code in BROKEN
 
@@ -166,8 +175,11 @@
     private fun dispatch() {
         val remainingMs = remainingMs()
         if (remainingMs <= 0) return fail(tooLate())
+        val mode = parts.crashes.mode(job.chat.fingerprint, now())
+        if (mode == RunMode.REFUSED) return fail(quarantined())
         val head = chooseHead() ?: return waitForHead()
         waitsSinceMs = null
+        isolated = mode == RunMode.ISOLATED
         val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
         attempt = next
         parts.heads.loads.sent(head.instance)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -44,7 +44,7 @@
         try {
             val notice =
                 ProtocolJson.decodeFromString(CrashNotice.serializer(), request.bodyString())
-            crashes.noticed(notice.fingerprints, context.clock.nowMs())
+            crashes.noticed(notice.crashes, context.clock.nowMs())
             Response(Status.NO_CONTENT)
         } catch (_: SerializationException) {
             errorResponse(ResultCode.MALFORMED_REQUEST, "not a crash notice")
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashBroadcast.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashBroadcast.kt
@@ -12,19 +12,19 @@
  * the count anew. Crashes of one batch share a notice.
  */
 internal class CrashBroadcast(private val context: EntryContext) {
-    private val waiting = ConcurrentLinkedQueue<String>()
+    private val waiting = ConcurrentLinkedQueue<SeenCrash>()
 
     fun start() = context.scope.repeat("crash-broadcast", { INTERVAL_MS }, ::send)
 
-    fun add(fingerprint: String) {
-        waiting += fingerprint
+    fun add(crash: SeenCrash) {
+        waiting += crash
     }
 
     private fun send() {
-        val fingerprints = generateSequence { waiting.poll() }.take(MAX_FINGERPRINTS).toList()
-        if (fingerprints.isEmpty()) return
+        val crashes = generateSequence { waiting.poll() }.take(MAX_CRASHES).distinct().toList()
+        if (crashes.isEmpty()) return
         val body =
-            ProtocolJson.encodeToString(CrashNotice.serializer(), CrashNotice(fingerprints))
+            ProtocolJson.encodeToString(CrashNotice.serializer(), CrashNotice(crashes))
         context.membership.instances()
             .map { it.description }
             .filter { it.role == Role.ENTRY && it.instance != context.instance }
@@ -39,7 +39,7 @@
     private companion object {
         const val INTERVAL_MS = 50L
         const val TIMEOUT_MS = 500L
-        const val MAX_FINGERPRINTS = 1_000
+        const val MAX_CRASHES = 1_000
     }
 }
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashRegister.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashRegister.kt
@@ -42,14 +42,27 @@
         }
 
     /** Notes a crash that this entry saw; returns how the request may run after it. */
-    fun crashed(fingerprint: String, nowMs: Long): RunMode {
-        broadcast.add(fingerprint)
-        return noticed(listOf(fingerprint), nowMs).let { runMode(it, fingerprint, nowMs) }
+    fun crashed(crash: SeenCrash, nowMs: Long): RunMode {
+        broadcast.add(crash)
+        return runMode(noticed(listOf(crash), nowMs), crash.fingerprint, nowMs)
     }
 
-    /** Notes crashes that another entry saw. */
-    fun noticed(fingerprints: List<String>, nowMs: Long): CrashSuspects =
-        suspects.updateAndGet { recordCrash(it, fingerprints, nowMs) }
+    /**
+     * Notes crashes, of this entry or of another one.
+     *
+     * One crash ends all requests of a batch, and several of them may have the same content. So
+     * only a crash of an isolated request counts beside an earlier one.
+     */
+    fun noticed(crashes: List<SeenCrash>, nowMs: Long): CrashSuspects =
+        suspects.updateAndGet { known ->
+            val counted = crashes.filter {
+                it.isolated || runMode(known, it.fingerprint, nowMs) == RunMode.NORMAL
+            }
+            recordCrash(known, counted.map { it.fingerprint }, nowMs)
+        }
+
+    /** Notes that an isolated request ended well, so that it was not the cause of a crash. */
+    fun cleared(fingerprint: String) = forget(setOf(fingerprint))
 
     private fun forget(released: Set<String>) {
         if (released.isEmpty()) return
--- a/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -169,7 +169,11 @@
                     head("h1", ::resume)
                     post(CHAT, BODY).status shouldBe 200
                     val seen = opened.last().fingerprint
-                    post("/v1/crashes", """{"fingerprints":["$seen"]}""").status shouldBe 204
+                    post(
+                        "/v1/crashes",
+                        """{"crashes":[{"fingerprint":"$seen","isolated":false}]}"""
+                    ).status shouldBe
+                        204
                     post(CHAT, BODY).status shouldBe 200
                     opened.map { it.isolated } shouldContainExactly listOf(false, true)
                 }
@@ -212,6 +216,31 @@
                 }
             }
 
+            // Guards against the quarantine of a request that several callers sent and that ran in
+            // the batch of another one that crashed.
+            it("counts one crash once for all requests of the same content") {
+                fixture {
+                    head("h1") { open, sink ->
+                        if (open.isolated) {
+                            resume(open, sink)
+                        } else {
+                            val crash = refused(ResultCode.STREAM_FAILED, false, crashed = true)
+                            thread {
+                                Thread.sleep(200)
+                                crash(open, sink)
+                            }
+                        }
+                    }
+                    val callers =
+                        List(6) { CompletableFuture.supplyAsync { post(CHAT, BODY).status } }
+                    callers.map { it.get(9, TimeUnit.SECONDS) }.toSet() shouldBe setOf(200)
+                    configuration.current.quarantine.keys shouldBe emptySet()
+                    opened.clear()
+                    post(CHAT, BODY).status shouldBe 200
+                    opened.first().isolated shouldBe false
+                }
+            }
+
             // Guards against faulty requests that reach a head.
             it("is validated before anything runs") {
                 fixture {
