Send the time of sending with plain calls

A sidecar that was frozen beyond the retention of claims refuses a call that it reads late from its socket only if it knows when the call was sent. The entry now sets sentAtMs on each attempt. The specs of the entry pass.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -59,7 +59,10 @@
             try {
                 transport.call(
                     sidecar,
-                    job.call.copy(remainingMs = remainingMs),
+                    job.call.copy(
+                        remainingMs = remainingMs,
+                        sentAtMs = context.clock.nowMs()
+                    ),
                     minOf(remainingMs, maxOf(MIN_ATTEMPT_MS, remainingMs / 2)),
                     fresh = fates.isNotEmpty()
                 )
