--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
@@ -1,6 +1,5 @@
 package org.jacinthlink.cli.site
 
-import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.InstanceId
@@ -14,8 +13,10 @@
 import org.jacinthlink.sidecar.SidecarSettings
 import org.jacinthlink.standins.EngineSettings
 import org.jacinthlink.standins.InstanceListSettings
+import org.jacinthlink.standins.ProxyListenerSettings
 import org.jacinthlink.standins.WeightStoreSettings
 import org.jacinthlink.standins.startEngineStandIn
+import org.jacinthlink.standins.startFaultProxy
 import org.jacinthlink.standins.startInstanceListStandIn
 import org.jacinthlink.standins.startKeyValueStandIn
 import org.jacinthlink.standins.startPlainServiceStandIn
@@ -28,6 +29,9 @@
         startInstanceListStandIn(InstanceListSettings(lagMs = plan.instanceListLagMs))
     private val weightStore = startWeightStoreStandIn(WeightStoreSettings(models = manifests()))
 
+    /** Proxy with a listener for each daemon, if the plan asks for it. */
+    val proxy = if (plan.isProxied) startFaultProxy() else null
+
     /** Stages with their engines and sidecars, pipeline by pipeline. */
     val stages = CopyOnWriteArrayList<SiteStage>()
 
@@ -101,7 +105,7 @@
         daemons.parallelStream().forEach { it.stop() }
         stages.forEach { it.engine.stop() }
         services.forEach { it.service.stop() }
-        listOf(keyValue, instanceList, weightStore).forEach { it.stop() }
+        listOfNotNull(keyValue, instanceList, weightStore, proxy).forEach { it.stop() }
     }
 
     private fun addService(index: Int, service: String, zone: String) {
@@ -123,20 +127,24 @@
             holding = holding
         )
 
-    private fun daemon(name: String, zone: String) =
-        DaemonSettings(
+    private fun daemon(name: String, zone: String): DaemonSettings {
+        val port = FreePorts.next()
+        val proxied = proxy?.addListener(ProxyListenerSettings(name, "127.0.0.1:$port"))
+        return DaemonSettings(
             name = name,
-            port = freePort(),
+            port = port,
+            advertisedAddress = proxied,
             availabilityZone = zone,
             peerToken = PEER_TOKEN
         )
+    }
 
     private fun list(name: String, role: Role, daemon: DaemonSettings) =
         instanceList.add(
             ListedInstance(
                 InstanceId(name),
                 role,
-                "${daemon.host}:${daemon.port}",
+                daemon.advertisedAddress ?: "${daemon.host}:${daemon.port}",
                 daemon.availabilityZone
             )
         )
@@ -152,9 +160,9 @@
     companion object {
         /** Operator token of local sites; they listen on the loopback address only. */
         const val OPERATOR_TOKEN = "local-site-operator-token"
-        private const val PEER_TOKEN = "local-site-peer-token"
-        private const val LAYER_SIZE_BYTES = 1_000_000_000L
 
-        private fun freePort() = ServerSocket(0).use { it.localPort }
+        /** Token of the processes of local sites. */
+        const val PEER_TOKEN = "local-site-peer-token"
+        private const val LAYER_SIZE_BYTES = 1_000_000_000L
     }
 }
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
@@ -6,6 +6,7 @@
 /**
  * A whole system with stand-ins for everything outside it, on one machine.
  *
+ * @property isProxied True to put a fault proxy in front of each daemon.
  * @property crashWord Prompt token that crashes each engine that runs it.
  */
 data class SitePlan(
@@ -15,7 +16,8 @@
     val services: List<ServicePlan>,
     val classes: List<WorkClass>,
     val instanceListLagMs: Long = 0,
-    val crashWord: String? = null
+    val crashWord: String? = null,
+    val isProxied: Boolean = false
 )
 
 /** A chain of stages that hold all layers of [model], one backend server for each stage. */
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/PlainCallSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PlainCallSpec.kt
@@ -124,7 +124,9 @@
             // Guards against a second execution when the caller goes to another entry.
             it("an entry: the booking sent again through the other entry runs once") {
                 faults(PlainServiceFaults(latencyMs = 1_000))
-                val pending = CompletableFuture.supplyAsync { bookSlowly("killed-entry", entry = 1) }
+                val pending = CompletableFuture.supplyAsync {
+                    bookSlowly("killed-entry", entry = 1)
+                }
                 eventually("the booking has run", 5_000) { fleet.bookings("killed-entry") == 1 }
                 fleet.process("entry-1").kill()
                 pending.get(30, TimeUnit.SECONDS)
