Try heads again that were not ready, after a short wait

A request that only met heads whose backend server was not ready waited for a head until it failed, because these heads stayed excluded. They may serve again after half a second.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -200,13 +200,17 @@
     // Once each head has failed, those that failed first may serve again.
     private fun chooseHead(): FlowStage? =
         parts.heads.choose(job.chat.model, excluded, now())
-            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN }) {
+            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN } || hasWaited()) {
                 excluded.clear()
                 parts.heads.choose(job.chat.model, excluded, now())
             } else {
                 null
             }
 
+    // A backend server that was not ready may have come back meanwhile.
+    private fun hasWaited(): Boolean =
+        waitsSinceMs?.let { now() - it >= RETURN_AFTER_MS } ?: false
+
     private fun waitForHead() {
         val sinceMs = waitsSinceMs ?: now().also { waitsSinceMs = it }
         if (RetryRules.isFull(ends) || now() - sinceMs >= MAX_HEAD_WAIT_MS) {
@@ -286,6 +290,8 @@
                 ResultCode.INTERNAL_ERROR
             )
 
+        const val RETURN_AFTER_MS = 500L
+
         // A failed zone leaves the membership within this time, and other heads become known.
         const val MAX_HEAD_WAIT_MS = 2_000L
     }
