Wait for backend servers to return before a stream is given up

Cause: with all heads of a model down for a second, an accepted stream used its eight attempts within milliseconds, because refusals of heads that are not ready come at once and excluded heads were cleared at once. Ruled out: the retry budget, which such refusals do not charge. Change: rounds over all heads are 500 ms apart, and an accepted stream waits up to 10 s since its last token. FailoverSpec 'crashes two at most, and streams that shared its batch are answered' failed twice before and passes now, with the entry's specs.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -28,6 +28,10 @@
     private var isolated = false
     private var waitsSinceMs: Long? = null
     private var lastTokenAtMs = 0L
+
+    // Time of the first acceptance or of the latest token.
+    private var lastProgressAtMs = 0L
+    private var roundStartedAtMs = 0L
     private var done = false
 
     @Synchronized
@@ -55,6 +59,7 @@
         if (done || attempt !== this.attempt) return
         when (event) {
             is StreamEvent.Accepted -> {
+                if (!wasAccepted) lastProgressAtMs = now()
                 wasAccepted = true
                 parts.heads.loads.reported(attempt.head.instance, event.load, now())
             }
@@ -78,6 +83,7 @@
         attempt.call?.cancel()
         if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
+        if (excluded.isEmpty()) roundStartedAtMs = now()
         excluded += attempt.head.instance
         record(
             "dispatch_failed",
@@ -112,6 +118,7 @@
             context.metrics.tokenGap(className(), nowMs - lastTokenAtMs)
         }
         lastTokenAtMs = nowMs
+        lastProgressAtMs = nowMs
         tokens += event.text
         responder.token(event.text)
     }
@@ -169,8 +176,14 @@
         end.refusal == null || end.refusal.code in BROKEN
 
     private fun isRetried(end: AttemptEnd): Boolean =
-        RetryRules.mayFollow(ends) &&
-            (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
+        if (wasAccepted && end.fate == AttemptFate.NOT_RUN) {
+            RetryRules.isRetryable(end) && mayWaitForProgress()
+        } else {
+            RetryRules.mayFollow(ends) &&
+                (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
+        }
+
+    private fun mayWaitForProgress() = now() - lastProgressAtMs < MAX_RESUME_WAIT_MS
 
     private fun dispatch() {
         val remainingMs = remainingMs()
@@ -197,23 +210,21 @@
         next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
     }
 
-    // Once each head has failed, those that failed first may serve again.
+    // Once each head has failed, those that failed first may serve again after a pause.
     private fun chooseHead(): FlowStage? =
         parts.heads.choose(job.chat.model, excluded, now())
-            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN } || hasWaited()) {
+            ?: if (now() - roundStartedAtMs >= ROUND_MS) {
                 excluded.clear()
                 parts.heads.choose(job.chat.model, excluded, now())
             } else {
                 null
             }
 
-    // A backend server that was not ready may have come back meanwhile.
-    private fun hasWaited(): Boolean =
-        waitsSinceMs?.let { now() - it >= RETURN_AFTER_MS } ?: false
-
     private fun waitForHead() {
         val sinceMs = waitsSinceMs ?: now().also { waitsSinceMs = it }
-        if (RetryRules.isFull(ends) || now() - sinceMs >= MAX_HEAD_WAIT_MS) {
+        val isOver =
+            if (wasAccepted) !mayWaitForProgress() else now() - sinceMs >= MAX_HEAD_WAIT_MS
+        if (RetryRules.isFull(ends) || isOver) {
             fail(RetryRules.failure(ends, tokens.isNotEmpty()))
         }
     }
@@ -290,7 +301,12 @@
                 ResultCode.INTERNAL_ERROR
             )
 
-        const val RETURN_AFTER_MS = 500L
+        // Rounds over all heads are at least this far apart, so that heads that are not ready do
+        // not use up the attempts of a request within milliseconds.
+        const val ROUND_MS = 500L
+
+        // A crashed backend server or a lost zone is back or replaced within this time.
+        const val MAX_RESUME_WAIT_MS = 10_000L
 
         // A failed zone leaves the membership within this time, and other heads become known.
         const val MAX_HEAD_WAIT_MS = 2_000L
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
@@ -31,12 +31,13 @@
             )
 
     /** True if another attempt may follow [ends]. */
-    fun mayFollow(ends: List<AttemptEnd>): Boolean {
-        val last = ends.last().refusal
-        return ends.size < MAX_ATTEMPTS &&
-            (last == null || last.code in RETRYABLE || last.backendServerCrashed) &&
-            ends.count { it.refusal?.code in FULL } < MAX_FULL_HEADS
-    }
+    fun mayFollow(ends: List<AttemptEnd>): Boolean = ends.size < MAX_ATTEMPTS &&
+        isRetryable(ends.last()) &&
+        ends.count { it.refusal?.code in FULL } < MAX_FULL_HEADS
+
+    /** True if another head may do better after [end]. */
+    fun isRetryable(end: AttemptEnd): Boolean =
+        end.refusal.let { it == null || it.code in RETRYABLE || it.backendServerCrashed }
 
     /** True if an attempt after [end] takes from the retry budget. */
     fun isCharged(end: AttemptEnd): Boolean =
