Read request bodies on workers and send small segments at once

Cause: under a trial load of 400 streams on three stages a request to an engine was now and then never read by its server: the exchange before it had completed, no thread was blocked, and the client waited until its timeout. The fault itself was not found; the asynchronous receiver of bodies is the suspect. Traces also showed steps that waited 40 ms for the last segment of their body.

Change: the body is read with blocking reads on the worker that serves the request; answers stay asynchronous. A slow body now holds a worker for up to 10 s between two reads. Clients set TCP_NODELAY.

HttpServerSpec and DaemonShellSpec pass.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -99,6 +99,7 @@
             )
             .connectionPool(pool)
             .retryOnConnectionFailure(false)
+            .socketFactory(NoDelaySocketFactory)
             .followRedirects(false)
             .eventListenerFactory { call -> call.request().tag(SentMarker::class.java)!! }
             .build()
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -5,8 +5,10 @@
 import io.undertow.server.HttpServerExchange
 import io.undertow.util.HeaderMap
 import io.undertow.util.HttpString
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import org.http4k.core.Body
@@ -15,6 +17,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.jacinthlink.api.ResultCode
+import org.xnio.channels.Channels
 
 /** Runs an http4k handler on Undertow's workers; a [PushBody] continues without a thread. */
 internal class UndertowHandler(
@@ -30,19 +33,38 @@
             openExchanges.decrementAndGet()
             next.proceed()
         }
-        val receiver = exchange.requestReceiver
-        receiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
-        receiver.receiveFullBytes(
-            { received, body ->
-                received.dispatch(
-                    controlLane.executorFor(received.requestPath),
-                    Runnable { serve(received, body) }
-                )
-            },
-            { failed, cause -> failed.dispatch(Runnable { serveReadFailure(failed, cause) }) }
+        exchange.dispatch(
+            controlLane.executorFor(exchange.requestPath),
+            Runnable { readAndServe(exchange) }
         )
     }
 
+    private fun readAndServe(exchange: HttpServerExchange) {
+        try {
+            serve(exchange, readBody(exchange))
+        } catch (e: IOException) {
+            serveReadFailure(exchange, e)
+        }
+    }
+
+    // Read on the worker: with the asynchronous receiver, the request after a body of several reads
+    // was now and then never read from its connection.
+    private fun readBody(exchange: HttpServerExchange): ByteArray {
+        val channel = exchange.requestChannel ?: return ByteArray(0)
+        val body = ByteArrayOutputStream()
+        val buffer = ByteBuffer.allocate(READ_BUFFER_BYTES)
+        while (true) {
+            val count =
+                Channels.readBlocking(channel, buffer, READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            if (count < 0) break
+            if (count == 0) throw IOException("the body did not arrive within $READ_TIMEOUT_MS ms")
+            body.write(buffer.array(), 0, buffer.position())
+            buffer.clear()
+            if (body.size() > limits.maxBodyBytes) throw Receiver.RequestToLargeException()
+        }
+        return body.toByteArray()
+    }
+
     private fun serveReadFailure(exchange: HttpServerExchange, cause: IOException) {
         if (cause is Receiver.RequestToLargeException) {
             exchange.isPersistent = false
@@ -130,5 +152,7 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+        const val READ_BUFFER_BYTES = 16_384
+        const val READ_TIMEOUT_MS = 10_000L
     }
 }
