--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -32,7 +32,6 @@
 
     @Synchronized
     fun start() {
-        isolated = parts.crashes.mode(job.chat.fingerprint, now()) == RunMode.ISOLATED
         responder.onDisconnect(::callerGone)
         dispatch()
     }
@@ -124,6 +123,7 @@
         }
         leave(attempt)
         parts.heads.failures.succeeded(attempt.head.instance)
+        if (isolated) parts.crashes.cleared(job.chat.fingerprint)
         responder.end(event.reason, tokens.size)
         finish(null)
     }
@@ -136,8 +136,8 @@
         if (!event.backendServerCrashed) {
             return onBroken(attempt, AttemptEnd(fate, event.message, event))
         }
-        isolated = true
-        if (parts.crashes.crashed(job.chat.fingerprint, now()) == RunMode.REFUSED) {
+        val crash = SeenCrash(job.chat.fingerprint, isolated)
+        if (parts.crashes.crashed(crash, now()) == RunMode.REFUSED) {
             ends += AttemptEnd(fate, event.message, event)
             leave(attempt)
             quarantine()
@@ -150,12 +150,21 @@
         val fingerprint = job.chat.fingerprint
         parts.crashes.quarantine(fingerprint, job.requestId, now()) {
             synchronized(this) {
-                val message = "the request crashed two backend servers; fingerprint $fingerprint"
-                if (!done) fail(ChatFailure(ResultCode.QUARANTINED, message, notRun = false))
+                if (!done) fail(quarantined())
             }
         }
     }
 
+    private fun quarantined(): ChatFailure {
+        val message = "the request crashed two backend servers"
+        val notRun = RetryRules.failure(ends, tokens.isNotEmpty()).notRun
+        return ChatFailure(
+            ResultCode.QUARANTINED,
+            "$message; fingerprint ${job.chat.fingerprint}",
+            notRun
+        )
+    }
+
     private fun isFaultOfHead(end: AttemptEnd): Boolean =
         end.refusal == null || end.refusal.code in BROKEN
 
@@ -166,8 +175,11 @@
     private fun dispatch() {
         val remainingMs = remainingMs()
         if (remainingMs <= 0) return fail(tooLate())
+        val mode = parts.crashes.mode(job.chat.fingerprint, now())
+        if (mode == RunMode.REFUSED) return fail(quarantined())
         val head = chooseHead() ?: return waitForHead()
         waitsSinceMs = null
+        isolated = mode == RunMode.ISOLATED
         val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
         attempt = next
         parts.heads.loads.sent(head.instance)
@@ -188,13 +200,17 @@
     // Once each head has failed, those that failed first may serve again.
     private fun chooseHead(): FlowStage? =
         parts.heads.choose(job.chat.model, excluded, now())
-            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN }) {
+            ?: if (ends.any { it.fate != AttemptFate.NOT_RUN } || hasWaited()) {
                 excluded.clear()
                 parts.heads.choose(job.chat.model, excluded, now())
             } else {
                 null
             }
 
+    // A backend server that was not ready may have come back meanwhile.
+    private fun hasWaited(): Boolean =
+        waitsSinceMs?.let { now() - it >= RETURN_AFTER_MS } ?: false
+
     private fun waitForHead() {
         val sinceMs = waitsSinceMs ?: now().also { waitsSinceMs = it }
         if (RetryRules.isFull(ends) || now() - sinceMs >= MAX_HEAD_WAIT_MS) {
@@ -274,6 +290,8 @@
                 ResultCode.INTERNAL_ERROR
             )
 
+        const val RETURN_AFTER_MS = 500L
+
         // A failed zone leaves the membership within this time, and other heads become known.
         const val MAX_HEAD_WAIT_MS = 2_000L
     }
