--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/FloodSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/FloodSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.jacinthlink.cli.load.LoadPlan
 import org.jacinthlink.cli.load.LoadReport
@@ -71,6 +72,14 @@
             return report
         }
 
+        fun checkNothingLost(report: LoadReport) =
+            report.classes.values.forEach {
+                withClue(it) {
+                    it.answered + it.refusedNotRun shouldBe it.sent
+                    it.wrong shouldBe 0
+                }
+            }
+
         describe("a flood of the least urgent work") {
             // Guards against urgent work that waits behind a flood, and against lost requests.
             it("leaves 99 in 100 urgent requests within their target and loses nothing") {
@@ -82,12 +91,39 @@
                     )
                 report.classes.getValue("quotation").withinTargetShare shouldBeGreaterThanOrEqual
                     0.99
-                report.classes.values.forEach {
-                    withClue(it) {
-                        it.answered + it.refusedNotRun shouldBe it.sent
-                        it.wrong shouldBe 0
+                checkNothingLost(report)
+            }
+        }
+
+        describe("a flood of the most urgent work") {
+            // Guards against a flood that takes the share of the other classes.
+            it("leaves nine in ten requests of each other class answered within their target") {
+                val report =
+                    run(
+                        work("shop-1", "quotation", FLOOD_PER_SECOND, 20),
+                        work("shop-2", "question", 5.0, 20),
+                        work("office", "summary", 1.0, 20)
+                    )
+                listOf("question", "summary").forEach { name ->
+                    withClue(name) {
+                        report.classes.getValue(name).withinTargetShare shouldBeGreaterThanOrEqual
+                            0.9
                     }
                 }
+                checkNothingLost(report)
             }
         }
+
+        describe("a workspace that asks far more than the others") {
+            // Guards against small callers that wait behind a large one of their class.
+            it("raises the 95th percentile of the small ones by a fifth at most")
+                .config(enabledOrReasonIf = unlessKnownRed) {
+                    val small = work("shop-1", "question", 8.0, 20)
+                    val alone = run(small).workspaces.getValue("shop-1").timeToFirstTokenMs.p95
+                    val report = run(small, work("shop-9", "question", FLOOD_PER_SECOND, 20))
+                    checkNothingLost(report)
+                    report.workspaces.getValue("shop-1").timeToFirstTokenMs.p95 shouldBeLessThan
+                        1.2 * alone
+                }
+        }
     })
