Let small workspaces start while a large one has borrowed the slots

Cause: a class at its share of the running slots started nobody, so a small workspace waited for a slot of the large one in its class. Change: a workspace below an even part of its class's slots starts at once.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/ClassQueue.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/ClassQueue.kt
@@ -25,6 +25,7 @@
 
     val isActive: Boolean get() = size > 0
     val activeWorkspaces: Int get() = active.size
+    val activeWorkspaceIds: Set<WorkspaceId> get() = active.map { it.workspace }.toSet()
 
     fun offer(request: QueuedRequest) {
         val account = accounts.getOrPut(request.workspace) { WorkspaceAccount(request.workspace) }
@@ -34,18 +35,24 @@
         waitingTokens += request.costTokens
     }
 
-    /** Removes the next request that still can meet its deadline; others go to [expired]. */
-    fun poll(nowMs: Long, expired: MutableList<QueuedRequest>): QueuedRequest? {
-        while (active.isNotEmpty()) {
-            val account = active.first()
-            floor = account.counter
+    /**
+     * Removes the next request of an eligible workspace that still can meet its deadline; others
+     * go to [expired].
+     */
+    fun poll(
+        nowMs: Long,
+        expired: MutableList<QueuedRequest>,
+        isEligible: (WorkspaceId) -> Boolean
+    ): QueuedRequest? {
+        while (true) {
+            val account = active.firstOrNull { isEligible(it.workspace) } ?: return null
+            floor = active.first().counter
             val request = account.removeFirst()
             counted(listOf(request))
             if (!account.isActive) active.remove(account)
             if (request.deadlineAtMs >= nowMs) return request
             expired += request
         }
-        return null
     }
 
     fun charge(workspace: WorkspaceId, tokens: Double) {
--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/FairQueue.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/FairQueue.kt
@@ -51,20 +51,17 @@
         charged(pollResumed(nowMs) ?: pollShared(nowMs) { true })
 
     /**
-     * Like [poll] while all [slots] are taken: resumed requests, and requests of classes that have
-     * fewer [running] requests than their part of the slots by worth. Other classes have borrowed
-     * those slots and free them only when their requests end.
+     * Like [poll] while all [slots] are taken: resumed requests, requests of classes that have
+     * fewer [running] requests than their part of the slots by worth, and requests of workspaces
+     * that have fewer than an even part of the slots of their class. Others have borrowed those
+     * slots and free them only when their requests end.
      */
-    fun pollBelowShare(nowMs: Long, running: Map<String, Int>, slots: Int): QueuedRequest? {
-        val waiting = queues.values.filter { it.isActive }.map { it.name }
-        val present = running.filterValues { it > 0 }.keys + waiting
-        val worth = present.sumOf { classOf(it).worth.coerceAtLeast(1) }
+    fun pollBelowShare(nowMs: Long, running: RunningCounts, slots: Int): QueuedRequest? {
+        val shares = slotShares(running, slots)
         val next =
             pollResumed(nowMs)
-                ?: pollShared(nowMs) { queue ->
-                    val share = slots.toDouble() * queue.workClass.worth.coerceAtLeast(1) / worth
-                    (running[queue.name] ?: 0) < share
-                }
+                ?: pollShared(nowMs) { running.of(it.name) < shares.getValue(it.name) }
+                ?: pollSmallWorkspace(nowMs, running, shares)
         return charged(next)
     }
 
@@ -128,13 +125,34 @@
         return null
     }
 
+    private fun slotShares(running: RunningCounts, slots: Int): Map<String, Double> {
+        val waiting = queues.values.filter { it.isActive }.map { it.name }
+        val worths =
+            (running.classes + waiting).associateWith { classOf(it).worth.coerceAtLeast(1) }
+        return worths.mapValues { slots.toDouble() * it.value / worths.values.sum() }
+    }
+
+    private fun pollSmallWorkspace(
+        nowMs: Long,
+        running: RunningCounts,
+        shares: Map<String, Double>
+    ): QueuedRequest? =
+        queues.values
+            .filter { it.isActive }
+            .sortedWith(URGENT_FIRST)
+            .firstNotNullOfOrNull { queue ->
+                val present = queue.activeWorkspaceIds + running.workspaces(queue.name)
+                val part = shares.getValue(queue.name) / present.size
+                queue.poll(nowMs, expired) { running.of(queue.name, it) < part }
+            }
+
     private fun charged(next: QueuedRequest?): QueuedRequest? =
         next?.also { charge(it, it.costTokens) }
 
     private fun pollShared(nowMs: Long, isEligible: (ClassQueue) -> Boolean): QueuedRequest? {
         while (true) {
             val queue = nextQueue(isEligible) ?: return null
-            queue.poll(nowMs, expired)?.let { return it }
+            queue.poll(nowMs, expired) { true }?.let { return it }
         }
     }
 
--- a/decision/src/test/kotlin/org/jacinthlink/decision/routing/FairQueueSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/routing/FairQueueSpec.kt
@@ -44,6 +44,11 @@
     )
 }
 
+private fun running(requests: Requests, vararg counts: Pair<String, Int>) =
+    RunningCounts().apply {
+        counts.forEach { (workClass, count) -> repeat(count) { started(requests.next(workClass)) } }
+    }
+
 class FairQueueSpec :
     DescribeSpec({
 
@@ -116,7 +121,7 @@
                 val requests = Requests()
                 val queue = fairQueue(CLASSES)
                 CLASSES.keys.forEach { queue.offer(requests.next(it)) }
-                val running = mapOf("archive" to 10)
+                val running = running(requests, "archive" to 10)
                 queue.pollBelowShare(0, running, slots = 10)!!.workClass shouldBe "urgent"
                 queue.pollBelowShare(0, running, slots = 10)!!.workClass shouldBe "middle"
                 queue.pollBelowShare(0, running, slots = 10) shouldBe null
@@ -127,7 +132,21 @@
                 val queue = fairQueue(CLASSES)
                 val requests = Requests()
                 repeat(2) { queue.offer(requests.next("urgent")) }
-                val running = mapOf("urgent" to 6, "middle" to 3, "archive" to 1)
+                val running =
+                    running(requests, "urgent" to 6, "middle" to 3, "archive" to 1)
+                queue.pollBelowShare(0, running, slots = 10) shouldBe null
+            }
+        }
+
+        describe("workspaces while all slots are taken") {
+            // Guards against a small caller that waits until a large one frees a slot.
+            it("start below an even part of the slots of their class") {
+                val requests = Requests()
+                val queue = fairQueue(CLASSES)
+                queue.offer(requests.next("urgent", workspace = "w"))
+                queue.offer(requests.next("urgent", workspace = "small"))
+                val running = running(requests, "urgent" to 10)
+                queue.pollBelowShare(0, running, slots = 10)!!.workspace.value shouldBe "small"
                 queue.pollBelowShare(0, running, slots = 10) shouldBe null
             }
         }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.decision.routing.Admission
 import org.jacinthlink.decision.routing.AdmissionDecision
 import org.jacinthlink.decision.routing.FairQueue
+import org.jacinthlink.decision.routing.RunningCounts
 
 /** Queued and running streams of a head. Not safe for use by several threads. */
 internal class HeadRegistry(
@@ -19,7 +20,7 @@
     private val queued = LinkedHashMap<StreamKey, HeadStream>()
     private val running = LinkedHashMap<StreamKey, HeadStream>()
 
-    private val runningByClass = HashMap<String, Int>()
+    private val runningCounts = RunningCounts()
 
     val queuedCount: Int get() = queued.size
     val runningCount: Int get() = running.size
@@ -55,7 +56,7 @@
             when {
                 running.size < slots -> queue.poll(nowMs)
                 running.size < MAX_OVERCOMMIT * slots ->
-                    queue.pollBelowShare(nowMs, runningByClass, slots)
+                    queue.pollBelowShare(nowMs, runningCounts, slots)
                 else -> null
             } ?: return null
         val stream = queued.remove(request.id) ?: return null
@@ -63,7 +64,7 @@
         stream.startedAtMs = nowMs
         stream.progressAtMs = nowMs
         running[stream.key] = stream
-        runningByClass.merge(request.workClass, 1, Int::plus)
+        runningCounts.started(request)
         return stream
     }
 
@@ -79,9 +80,7 @@
 
     fun remove(key: StreamKey): HeadStream? {
         if (queued.remove(key)?.also { queue.remove(key) } != null) return null
-        return running.remove(key)?.also { removed ->
-            runningByClass.merge(removed.request.workClass, -1, Int::plus)
-        }
+        return running.remove(key)?.also { runningCounts.ended(it.request) }
     }
 
     /** Removes and returns the queued streams whose deadline has passed. */
@@ -98,7 +97,7 @@
     }
 
     private companion object {
-        // All classes below their share add up to the slots once more.
+        // The shares of all classes add up to the slots once more.
         const val MAX_OVERCOMMIT = 2
     }
 }
