--- a/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
+import org.jacinthlink.api.Headers
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.WorkClass
@@ -15,6 +16,7 @@
 import org.jacinthlink.cli.site.inJvmLauncher
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.runtime.http.headerValue
 import org.jacinthlink.runtime.http.peerClient
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -93,12 +95,23 @@
     private fun showBooking(site: LocalSite, entries: List<String>, client: PeerClient) {
         println("\none booking, sent through each entry with the same idempotency key:")
         entries.forEach { entry ->
-            println("  $entry: ${client.call(bookingCall(entry), CALL_TIMEOUT_MS)}")
+            println("  $entry: ${summary(client.call(bookingCall(entry), CALL_TIMEOUT_MS))}")
         }
         val count = site.services.sumOf { it.service.executions.values.sum() }
         println("  the order desk ran it $count times")
     }
 
+    private fun summary(result: PeerResult): String =
+        when (result) {
+            is PeerResult.Answered -> {
+                val isReplayed = result.headers.headerValue(Headers.REPLAYED) == "true"
+                val kind = if (isReplayed) "recorded result" else "executed"
+                "$kind, status ${result.status}, ${result.body}"
+            }
+            is PeerResult.NotSent -> "not sent: ${result.message}"
+            is PeerResult.Unknown -> "unknown: ${result.message}"
+        }
+
     private companion object {
         const val READY_ATTEMPTS = 100
         const val READY_PAUSE_MS = 200L
