Refuse requests and check URLs in one place each

Chat requests and plain calls recorded and answered a refusal with the same lines, and the settings of entry and sidecar had the same URL check. Both now call one function. The process tests were not run again after this commit.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
@@ -43,9 +43,4 @@
     inRange("limits.settlingMs", limits.settlingMs, 0L..60_000L)
 }
 
-private fun Validation.url(path: String, value: String) =
-    check(path, value.startsWith("http://") || value.startsWith("https://")) {
-        "'$value' is not an HTTP URL"
-    }
-
 private const val MIN_TOKEN_LENGTH = 16
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
@@ -15,6 +15,7 @@
 import org.jacinthlink.entry.RetryAccount
 import org.jacinthlink.entry.boundedExecutor
 import org.jacinthlink.entry.callerIdentity
+import org.jacinthlink.entry.refuse
 import org.jacinthlink.entry.tryExecute
 import org.jacinthlink.entry.withRetryAfter
 import org.jacinthlink.runtime.http.DeferredBody
@@ -40,16 +41,7 @@
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> dispatch(accepted.value)
-            is Failure -> {
-                context.eventLog.record(
-                    "request_refused",
-                    requestId,
-                    "code" to accepted.code,
-                    "reason" to accepted.message
-                )
-                context.metrics.ended(null, accepted.code, 0)
-                errorResponse(accepted.code, accepted.message, requestId)
-            }
+            is Failure -> context.refuse(accepted, requestId)
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<CallJob> {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -16,6 +16,7 @@
 import org.jacinthlink.entry.RetryAccount
 import org.jacinthlink.entry.callerIdentity
 import org.jacinthlink.entry.heads.HeadDirectory
+import org.jacinthlink.entry.refuse
 import org.jacinthlink.runtime.http.DeferredBody
 import org.jacinthlink.runtime.http.errorResponse
 
@@ -53,16 +54,7 @@
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> relay(accepted.value)
-            is Failure -> {
-                context.eventLog.record(
-                    "request_refused",
-                    requestId,
-                    "code" to accepted.code,
-                    "reason" to accepted.message
-                )
-                context.metrics.ended(null, accepted.code, 0)
-                errorResponse(accepted.code, accepted.message, requestId)
-            }
+            is Failure -> context.refuse(accepted, requestId)
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<ChatJob> {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/settings/Validation.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/settings/Validation.kt
@@ -30,6 +30,12 @@
         check(path, valid) { "'$value' is not a host and port, as 127.0.0.1:7101" }
     }
 
+    /** Reports [path] unless [value] is an HTTP URL. */
+    fun url(path: String, value: String) =
+        check(path, value.startsWith("http://") || value.startsWith("https://")) {
+            "'$value' is not an HTTP URL"
+        }
+
     /** Reports [path] with [message] unless [valid]. */
     fun check(path: String, valid: Boolean, message: () -> String) {
         if (!valid) found += "$path: ${message()}"
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
@@ -67,8 +67,3 @@
     inRange("head.silenceMs", limits.silenceMs, 50L..60_000L)
     inRange("head.stepStallMs", limits.stepStallMs, 50L..60_000L)
 }
-
-private fun Validation.url(path: String, value: String) =
-    check(path, value.startsWith("http://") || value.startsWith("https://")) {
-        "'$value' is not an HTTP URL"
-    }
