Let plain calls wait for a sidecar, and let a returning process announce itself

Cause: three process tests failed on a fast machine, and one was known red. A sidecar that was down for some seconds is probed at delays that double up to 15 s, and it announced changes of its description only, so an entry could take it for unreachable long after its return. Plain calls did not wait and were refused at once with 2003 (PlainCallSpec, both tests with a killed process; ConnectionSpec, refused connections). WholePathSpec got 2002 for an unknown model because an entry counted as settling for 5 s after its start, even when all listed instances had been asked.

Ruled out: a lost claim or a second execution (the refused calls never reached a sidecar); a shorter maximal probe delay, which costs probes of a whole lost zone.

Change: a process announces itself to all listed peers once after its start; a plain call tries unreachable sidecars as a last resort and waits within its target, 2 s at most and with half of the call threads; settling ends when the membership is complete.

Before: a peer knew a returned process up to 4 s later after an absence of 4.5 s (probe delays), up to 15 s in general. After: within 2 s (MembershipSpec).

--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -28,8 +28,9 @@
     val availabilityZone: String get() = settings.daemon.availabilityZone
     private val startedAtMs = clock.nowMs()
 
-    /** True while the membership may not know all instances yet. */
-    val isSettling: Boolean get() = clock.nowMs() - startedAtMs < limits.settlingMs
+    /** True while the membership may not know all instances yet, for a bounded time. */
+    val isSettling: Boolean
+        get() = !membership.isComplete && clock.nowMs() - startedAtMs < limits.settlingMs
 
     val metrics = EntryMetrics(meters)
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
@@ -10,8 +10,8 @@
  *   wrong number costs conflicts between sidecars, but no correctness.
  * @property callThreads Plain calls in execution at the same time.
  * @property maxQueuedCalls Plain calls that wait for a thread; further ones are refused.
- * @property settlingMs Time after the start in which models and services that are not known yet
- *   count as unavailable, not as unknown.
+ * @property settlingMs Longest time after the start in which models and services that are not known
+ *   yet count as unavailable, not as unknown. It ends once all listed instances were asked.
  */
 @Serializable
 data class EntryLimits(
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -27,6 +27,8 @@
     private val fates = ArrayList<AttemptFate>()
     private val excluded = HashSet<InstanceId>()
     private var lastRefusal: CallAnswer.Refused? = null
+    private var unreachedCount = 0
+    private var lastFailedAtMs = 0L
     private var lastCause = "no sidecar of service ${job.call.service} can be reached"
 
     /** Attempts so far. */
@@ -34,14 +36,29 @@
 
     fun run(): CallEnd {
         while (mayAttempt()) {
-            val sidecar = nextSidecar() ?: return conclude()
+            val sidecar = nextSidecar() ?: awaitSidecar() ?: return conclude()
             attempt(sidecar)?.let { return it }
         }
         return conclude()
     }
 
+    // A sidecar that was cut off or restarted is found again within the target of the call. A full
+    // service is not waited for: its refusal is due at once.
+    private fun awaitSidecar(): InstanceDescription? =
+        if (lastRefusal?.code in FULL) null else directory.waiting(::pollSidecar)
+
+    private fun pollSidecar(): InstanceDescription? {
+        val endAtMs = minOf(job.deadlineAtMs, context.clock.nowMs() + MAX_SIDECAR_WAIT_MS)
+        while (context.clock.nowMs() < endAtMs) {
+            Thread.sleep(SIDECAR_POLL_MS)
+            if (context.clock.nowMs() - lastFailedAtMs >= ROUND_MS) excluded.clear()
+            nextSidecar()?.let { return it }
+        }
+        return null
+    }
+
     private fun mayAttempt(): Boolean {
-        if (remainingMs() <= 0 || fates.size >= MAX_ATTEMPTS) return false
+        if (remainingMs() <= 0 || fates.size - unreachedCount >= MAX_ATTEMPTS) return false
         if (fates.isEmpty()) return true
         val isCharged =
             fates.last() != AttemptFate.NOT_RUN || lastRefusal?.code in FULL
@@ -73,6 +90,7 @@
             is CallReply.Answer -> answered(sidecar, reply.answer)
             is CallReply.None -> {
                 directory.failures.failed(sidecar.instance, context.clock.nowMs())
+                if (reply.fate == AttemptFate.NOT_RUN) unreachedCount++
                 failed(sidecar, reply.fate, reply.cause)
                 null
             }
@@ -132,6 +150,7 @@
     private fun failed(sidecar: InstanceDescription, fate: AttemptFate, cause: String) {
         fates += fate
         excluded += sidecar.instance
+        lastFailedAtMs = context.clock.nowMs()
         lastCause = cause
         record(
             "dispatch_failed",
@@ -144,7 +163,8 @@
     // Once each sidecar has failed, a fresh connection to one of them may still work.
     private fun nextSidecar(): InstanceDescription? {
         val ranked = directory.ranked(job)
-        ranked.firstOrNull { it.instance !in excluded }?.let { return it }
+        (ranked + directory.unreachable(job)).firstOrNull { it.instance !in excluded }
+            ?.let { return it }
         if (AttemptFate.UNKNOWN !in fates) return null
         excluded.clear()
         return ranked.firstOrNull()
@@ -213,6 +233,13 @@
         const val MAX_ATTEMPTS = 6
         const val MIN_ATTEMPT_MS = 1_000L
 
+        // A restarted sidecar announces itself within this time.
+        const val MAX_SIDECAR_WAIT_MS = 2_000L
+        const val SIDECAR_POLL_MS = 50L
+
+        // Pause before a sidecar that refused its connection is tried again.
+        const val ROUND_MS = 250L
+
         // Sidecars wait 2 s at most for the write of a cancelled claim.
         const val CANCEL_TIMEOUT_MS = 2_500L
         const val MAX_CANCEL_MS = 5_000L
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/ServiceDirectory.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.entry.calls
 
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Semaphore
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.decision.claims.claimBucketOf
@@ -9,10 +10,12 @@
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.heads.FailureHistory
 import org.jacinthlink.entry.heads.LoadTable
+import org.jacinthlink.runtime.membership.KnownInstance
 
 /** Sidecars of plain services. */
 internal class ServiceDirectory(private val context: EntryContext) {
     private val idempotentMethods = ConcurrentHashMap<String, Set<String>>()
+    private val waitPermits = Semaphore(maxOf(1, context.limits.callThreads / 2))
 
     val loads = LoadTable()
     val failures = FailureHistory()
@@ -34,6 +37,21 @@
         return idempotentMethods[service]
     }
 
+    /**
+     * Runs [wait], which waits for a sidecar with the thread of its call.
+     *
+     * Returns null at once if half of the threads wait already, so that a service without sidecars
+     * does not hold up the calls of the others.
+     */
+    fun <T> waiting(wait: () -> T?): T? {
+        if (!waitPermits.tryAcquire()) return null
+        return try {
+            wait()
+        } finally {
+            waitPermits.release()
+        }
+    }
+
     /** True once any sidecar is known, so that an unknown service is not due to a late start. */
     fun isFilled(): Boolean = context.membership.instances().any { it.description.holding != null }
 
@@ -43,11 +61,18 @@
      */
     fun ranked(job: CallJob): List<InstanceDescription> {
         val avoided = failures.avoided(context.clock.nowMs())
-        return preferred(job).sortedBy { it.instance in avoided }
+        return preferred(job, sidecars(job.call.service)).sortedBy { it.instance in avoided }
     }
 
-    private fun preferred(job: CallJob): List<InstanceDescription> {
-        val sidecars = sidecars(job.call.service).filter { it.ready }
+    /** Sidecars for [job] that could not be reached lately, in the order of preference. */
+    fun unreachable(job: CallJob): List<InstanceDescription> =
+        preferred(job, context.membership.unreachable().ofService(job.call.service))
+
+    private fun preferred(
+        job: CallJob,
+        offered: List<InstanceDescription>
+    ): List<InstanceDescription> {
+        val sidecars = offered.filter { it.ready }
         val key = job.key ?: return byLoad(sidecars)
         val byInstance = sidecars.associateBy { it.instance }
         val bucket =
@@ -72,9 +97,10 @@
     }
 
     private fun sidecars(service: String): List<InstanceDescription> =
-        context.membership.instances().map { it.description }.filter {
-            (it.holding as? Holding.Service)?.service == service
-        }
+        context.membership.instances().ofService(service)
+
+    private fun List<KnownInstance>.ofService(service: String): List<InstanceDescription> =
+        map { it.description }.filter { (it.holding as? Holding.Service)?.service == service }
 
     private companion object {
         const val REFRESH_MS = 500L
--- a/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
@@ -5,6 +5,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import org.jacinthlink.api.CallAnswer
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.ResultCode
@@ -86,6 +88,32 @@
             }
         }
 
+        describe("a call whose only sidecar refuses connections") {
+            // Guards against a refusal while a sidecar comes back within the target.
+            it("waits for the sidecar within its target") {
+                fixture {
+                    val port = ServerSocket(0).use { it.localPort }
+                    membership.add("back", port, Holding.Service("ledger"))
+                    val pending = CompletableFuture.supplyAsync { post(PATH, "{}", KEYED) }
+                    Thread.sleep(600)
+                    pending.isDone shouldBe false
+                    sidecarAt("back", port) { DONE }
+                    pending.get(5, TimeUnit.SECONDS).status shouldBe 201
+                }
+            }
+            // Guards against a caller who is kept beyond the target, or told a false code.
+            it("is refused as not run when the target passes") {
+                fixture {
+                    val unused = ServerSocket(0).use { it.localPort }
+                    membership.add("gone", unused, Holding.Service("ledger"))
+                    val brief = KEYED + ("x-jacinthlink-class" to "brief")
+                    val answer = post(PATH, "{}", brief)
+                    answer.body shouldContain "\"not_run\":true"
+                    answer.body shouldContain ResultCode.DEADLINE_UNREACHABLE.name
+                }
+            }
+        }
+
         describe("a repeatable call") {
             // Guards against a caller who waits for a sidecar that is gone or broken.
             it("goes on to another sidecar, within its time") {
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -43,10 +43,18 @@
 class FakeMembership : Membership {
     private val known = CopyOnWriteArrayList<KnownInstance>()
     private val listeners = CopyOnWriteArrayList<() -> Unit>()
+    private val unreachable = CopyOnWriteArrayList<KnownInstance>()
 
     override fun instances(): List<KnownInstance> = known.toList()
 
-    override fun reportUnreachable(instance: InstanceId) = remove(instance)
+    override fun unreachable(): List<KnownInstance> = unreachable.toList()
+
+    override val isComplete: Boolean = true
+
+    override fun reportUnreachable(instance: InstanceId) {
+        unreachable += known.filter { it.description.instance == instance }
+        remove(instance)
+    }
 
     override fun reportDraining(instance: InstanceId) = remove(instance)
 
@@ -149,8 +157,12 @@
     }
 
     /** Adds a sidecar of service `ledger`; a null answer breaks the call. */
-    fun sidecar(id: String, answer: (String) -> CallAnswer?) {
-        val server = startHttpServer("127.0.0.1", 0, ServerLimits()) { request ->
+    fun sidecar(id: String, answer: (String) -> CallAnswer?) =
+        membership.add(id, sidecarAt(id, 0, answer), Holding.Service("ledger"))
+
+    /** Starts a sidecar on [port] without telling the membership; returns its port. */
+    fun sidecarAt(id: String, port: Int, answer: (String) -> CallAnswer?): Int {
+        val server = startHttpServer("127.0.0.1", port, ServerLimits()) { request ->
             called += "$id ${request.uri.path}"
             val json = answer(request.uri.path)?.let {
                 ProtocolJson.encodeToString(CallAnswer.serializer(), it)
@@ -158,7 +170,7 @@
             jsonResponse(Status.OK, json.orEmpty())
         }
         servers += server
-        membership.add(id, server.port, Holding.Service("ledger"))
+        return server.port
     }
 
     fun post(
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/Announcer.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/Announcer.kt
@@ -7,9 +7,16 @@
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.supervision.Scope
 
-/** Sends the description of this process to its subscribers when it changes. */
+/**
+ * Sends the description of this process to all peers after the start, and to its subscribers when
+ * it changes.
+ *
+ * Peers that probed the process in vain while it was down wait up to 15 s for their next probe, and
+ * a process that has just started does not know yet who they are.
+ */
 internal class Announcer(
     private val describe: () -> InstanceDescription,
+    private val peers: () -> List<String>,
     private val subscribers: () -> List<String>,
     private val client: PeerClient
 ) {
@@ -19,10 +26,12 @@
     fun start(scope: Scope) = scope.repeat("announce", { WATCH_INTERVAL_MS }, ::announceChange)
 
     /** Sends the description to all subscribers, for a few seconds at most. */
-    fun announce() {
+    fun announce() = announceTo(subscribers())
+
+    private fun announceTo(addresses: List<String>) {
         val body = encodeDescription(describe())
         val pool = Executors.newFixedThreadPool(PARALLEL_CALLS, ::daemonThread)
-        subscribers().forEach { address ->
+        addresses.forEach { address ->
             val call = PeerCall("POST", "http://$address/v1/describe", body)
             pool.execute { client.call(call, CALL_TIMEOUT_MS) }
         }
@@ -33,9 +42,10 @@
 
     private fun announceChange() {
         val present = describe().copy(load = null, configurationRevision = 0)
-        val before = announced
+        val targets = if (announced == null) peers() else subscribers()
+        if (present == announced || targets.isEmpty()) return
         announced = present
-        if (before != null && before != present && !present.draining) announce()
+        if (!present.draining) announceTo(targets)
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -69,7 +69,12 @@
 
     private val subscribers = DescribeSubscribers()
     private val announcer =
-        Announcer(::describe, { subscribers.recent(clock.nowMs()) }, controlClient)
+        Announcer(
+            ::describe,
+            { membership.listedPeers().map { it.address } },
+            { subscribers.recent(clock.nowMs()) },
+            controlClient
+        )
     private val drainStarted = AtomicBoolean(false)
     private val stopStarted = AtomicBoolean(false)
     private val listening = CountDownLatch(1)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
@@ -8,6 +8,17 @@
     /** All instances that are neither leaving nor known to be unreachable. */
     fun instances(): List<KnownInstance>
 
+    /**
+     * Instances that are excluded only because they could not be reached.
+     *
+     * One of them may be back without being described yet, so it is worth a try if nothing else is
+     * left.
+     */
+    fun unreachable(): List<KnownInstance>
+
+    /** True once the list was read and each instance on it was described or asked in vain. */
+    val isComplete: Boolean
+
     /** Excludes [instance] at once, on this process' own evidence, until it answers again. */
     fun reportUnreachable(instance: InstanceId)
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
@@ -15,12 +15,26 @@
     private val newBucket = TokenBucket(rates.newPerSecond)
     private val members = LinkedHashMap<InstanceId, Member>()
 
+    private var hasList = false
+
     @Volatile
     private var available: List<KnownInstance> = emptyList()
 
     /** Instances that new work may go to. */
     fun available(): List<KnownInstance> = available
 
+    /** Described instances that would be available if they could be reached. */
+    @Synchronized
+    fun unreachable(): List<KnownInstance> =
+        members.values.filter { it.unreachable && it.copy(unreachable = false).isAvailable }
+            .mapNotNull { it.known() }
+
+    /** True once a list was taken and each instance on it was described or asked in vain. */
+    @Synchronized
+    fun isComplete(): Boolean =
+        hasList &&
+            members.values.none { it.isNew && !it.listed.leaving && interest(it.listed) }
+
     /** All listed instances, whatever their state. */
     @Synchronized
     fun listed(): List<ListedInstance> = members.values.map { it.listed }
@@ -37,6 +51,7 @@
         val before = members.values.mapNotNull { it.shown() }
         members.clear()
         members += next
+        hasList = true
         publish()
         return before != members.values.mapNotNull { it.shown() }
     }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
@@ -53,6 +53,10 @@
 
     override fun instances(): List<KnownInstance> = table.available()
 
+    override fun unreachable(): List<KnownInstance> = table.unreachable()
+
+    override val isComplete: Boolean get() = table.isComplete()
+
     override fun reportUnreachable(instance: InstanceId) =
         excluded(instance, "unreachable", table.reportUnreachable(instance, nowMs()))
 
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/TestFleet.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/daemon/TestFleet.kt
@@ -145,21 +145,23 @@
         logic: DaemonLogic = TestLogic(),
         seeds: List<String> = emptyList(),
         keyValue: KeyValueService = this.keyValue,
-        instanceList: InstanceList = this.instanceList
-    ): DaemonShell = start(name, logic, seeds, keyValue) { instanceList }
+        instanceList: InstanceList = this.instanceList,
+        port: Int = 0
+    ): DaemonShell = start(name, logic, seeds, keyValue, port) { instanceList }
 
     private fun start(
         name: String,
         logic: DaemonLogic,
         seeds: List<String>,
         keyValue: KeyValueService,
+        port: Int,
         instanceList: (() -> DaemonContext) -> InstanceList
     ): DaemonShell {
         lateinit var context: DaemonContext
         val settings =
             DaemonSettings(
                 name = name,
-                port = 0,
+                port = port,
                 availabilityZone = "zone-a",
                 peerToken = TEST_TOKEN,
                 seeds = seeds,
@@ -190,7 +192,7 @@
         val joined = CountDownLatch(count)
         val nodes =
             (1..count).map { index ->
-                start("$prefix-$index", logic(index), emptyList(), keyValue) { context ->
+                start("$prefix-$index", logic(index), emptyList(), keyValue, 0) { context ->
                     JoiningInstanceList(instanceList, joined, context)
                 }
             }
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipSpec.kt
@@ -42,6 +42,21 @@
             }
         }
 
+        describe("a process that returns after a long absence") {
+            // Guards against a restarted process that waits for the next probe, up to 15 s.
+            it("announces itself, so that peers know it within 2 s of its start") {
+                TestFleet().use { fleet ->
+                    val port = ServerSocket(0).use { it.localPort }
+                    fleet.instanceList.list("back", "127.0.0.1:$port")
+                    val (a) = fleet.startListed("node", 2)
+                    // Five probes fail in this time; the sixth is due 4 s after the fifth.
+                    Thread.sleep(4_500)
+                    val back = fleet.start("back", port = port)
+                    waitUntil(2_000, "return") { a.knows(back) }
+                }
+            }
+        }
+
         describe("a process that drains") {
             it("is excluded within the bound of 5 s although the list never says so") {
                 TestFleet().use { fleet ->
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
@@ -189,6 +189,33 @@
             }
         }
 
+        describe("an unreachable instance") {
+            // Guards against last attempts at instances that said that they take no work.
+            it("is offered as a last resort, unless it drains or leaves") {
+                val table = table()
+                table.applyList(listOf(listed("a")))
+                table.described(A, described("a"), 10, 20)
+                table.unreachable().shouldBeEmpty()
+                table.reportUnreachable(A, 30)
+                table.unreachable().single().description.instance shouldBe A
+                table.reportDraining(A, 40)
+                table.unreachable().shouldBeEmpty()
+            }
+        }
+
+        describe("a table") {
+            // Guards against "unknown model" while instances on the list were not asked yet.
+            it("is complete once each listed instance was described or asked in vain") {
+                val table = table()
+                table.isComplete() shouldBe false
+                table.applyList(listOf(listed("a"), listed("b"), listed("c", leaving = true)))
+                table.isComplete() shouldBe false
+                table.described(A, described("a"), 10, 20)
+                table.describeFailed(InstanceId("b"), surelyDown = true, 30)
+                table.isComplete() shouldBe true
+            }
+        }
+
         describe("any order of lists, descriptions and reports") {
             it("never offers an instance that is unlisted, leaving or excluded since") {
                 checkAll(300, Arb.long()) { seed ->
