Let a spare runner take over layers that lost all their runners

Cause: with both runners of some layers gone, a model stayed without service until one of them was replaced, although runners of other layers were to spare. Placement was fixed by the settings.

Weighed (docs/design.md): a planner under a lease, free choice by each runner, and one ordered list of moves with a claim; the last was taken.

Found on the way: - Two runners of the same layers left one after the other, because the second did not see the first move yet. A claim now excludes others until they see its outcome. Placing the claim only for the time of the move was tried and did not prevent this. - A stream that had waited for the takeover was given up after 20 attempts, as attempts that did not run counted against its 8. They no longer count once a head has accepted the request. - Runners that exchange no messages with a failed one learned of it after up to 2.4 s by their round of descriptions. A head now tells the other runners of its model, which probe the failed one themselves.

Ruled out: a shorter round of descriptions, which costs messages all the time.

Measurement (mvn -B -ntp test -pl processtests -am -Dtest='PlacementSpec' -Dsurefire.failIfNoSpecifiedTests=false): a stream in execution when both runners of the middle layers are killed. The goal is 5 s.

--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/placement/PlacementMove.kt
@@ -0,0 +1,7 @@
+package org.jacinthlink.decision.placement
+
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.InstanceId
+
+/** A change of the layers that the runner beside [instance] holds. */
+data class PlacementMove(val instance: InstanceId, val holding: Holding.Stage)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -179,7 +179,7 @@
         if (wasAccepted && end.fate == AttemptFate.NOT_RUN) {
             RetryRules.isRetryable(end) && mayWaitForProgress()
         } else {
-            RetryRules.mayFollow(ends) &&
+            RetryRules.mayFollow(ends, wasAccepted) &&
                 (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
         }
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
@@ -30,10 +30,18 @@
                 ResultCode.INTERNAL_ERROR
             )
 
-    /** True if another attempt may follow [ends]. */
-    fun mayFollow(ends: List<AttemptEnd>): Boolean = ends.size < MAX_ATTEMPTS &&
-        isRetryable(ends.last()) &&
-        ends.count { it.refusal?.code in FULL } < MAX_FULL_HEADS
+    /**
+     * True if another attempt may follow [ends].
+     *
+     * @param wasAccepted True if a head accepted the request once. Attempts that did not run do not
+     *   count then: a stream that waited for a replacement may still lose that one.
+     */
+    fun mayFollow(ends: List<AttemptEnd>, wasAccepted: Boolean): Boolean {
+        val counted = if (wasAccepted) ends.filter { it.fate != AttemptFate.NOT_RUN } else ends
+        return counted.size < MAX_ATTEMPTS &&
+            isRetryable(ends.last()) &&
+            ends.count { it.refusal?.code in FULL } < MAX_FULL_HEADS
+    }
 
     /** True if another head may do better after [end]. */
     fun isRetryable(end: AttemptEnd): Boolean =
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -58,6 +58,8 @@
 
     override fun reportDraining(instance: InstanceId) = remove(instance)
 
+    override fun probe(instance: InstanceId) = Unit
+
     override fun addListener(listener: () -> Unit) {
         listeners += listener
     }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
@@ -30,6 +30,7 @@
                 "POST /v1/hops",
                 "POST /v1/tokens",
                 "POST /v1/faults",
+                "POST /v1/suspects",
                 "POST /v1/reroute",
                 "POST /v1/release",
                 "POST /v1/calls",
--- /dev/null
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PlacementSpec.kt
@@ -0,0 +1,76 @@
+package org.jacinthlink.processtests
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.jacinthlink.api.Headers
+import org.jacinthlink.api.Holding
+import org.jacinthlink.api.InstanceDescription
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.cli.site.DEMO_MODEL
+import org.jacinthlink.cli.site.LocalSite
+import org.jacinthlink.runtime.http.PeerCall
+import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.runtime.http.peerClient
+import org.jacinthlink.standins.referenceAnswer
+
+private const val LAYERS = 12
+
+class PlacementSpec :
+    DescribeSpec({
+        val fleet = ProcessSite().start()
+        val client = peerClient { mapOf(Headers.PEER_TOKEN to LocalSite.PEER_TOKEN) }
+        afterSpec {
+            fleet.close()
+            client.close()
+        }
+
+        fun firstLayerOf(name: String): Int {
+            val call = PeerCall("GET", "http://${fleet.process(name).address}/v1/describe")
+            val answer = client.call(call, 2_000) as PeerResult.Answered
+            val description =
+                ProtocolJson.decodeFromString(InstanceDescription.serializer(), answer.body)
+            return (description.holding as Holding.Stage).firstLayer
+        }
+
+        describe("layers that lost all their runners") {
+            val middle = fleet.site.stages.filter { it.holding.firstLayer == 4 }
+            val lasts = fleet.site.stages.filter { it.holding.isLast }.map { it.name }
+
+            // Guards against a model without service while runners of other layers are to spare.
+            it("are taken over within 5 s, and the streams of that moment end whole") {
+                val question = Question("placement", maxTokens = 150, workClass = "summary")
+                val answer = fleet.caller().stream(question)
+                answer.awaitTokens(10)
+                middle.forEach { fleet.process(it.name).kill() }
+                val killedAtMs = System.currentTimeMillis()
+                answer.await(40_000)
+                withClue(answer.error) {
+                    answer.tokens.toList() shouldContainExactly
+                        referenceAnswer(
+                            DEMO_MODEL,
+                            LAYERS,
+                            question.promptTokens,
+                            question.maxTokens
+                        )
+                }
+                val resumedAtMs = answer.arrivedAtMs.first { it - killedAtMs > 1_000 }
+                println("placement_resumed_ms=${resumedAtMs - killedAtMs}")
+                resumedAtMs - killedAtMs shouldBeLessThan 5_000
+                lasts.count { firstLayerOf(it) == 4 } shouldBe 1
+                fleet.site.stages.sumOf { it.engine.orderViolations } shouldBe 0
+            }
+            // Guards against a fleet that keeps the shape of its last failure.
+            it("are left again once their runners are back, without a break of service") {
+                middle.forEach { fleet.site.restartSidecar(it.settings) }
+                middle.forEach { fleet.process(it.name).awaitHealthy() }
+                eventually("all runners hold their own layers", 40_000) {
+                    val answer = fleet.caller().chat(Question("served", maxTokens = 5))
+                    check(answer is PeerResult.Answered && answer.isSuccess) { "$answer" }
+                    lasts.all { firstLayerOf(it) == 8 }
+                }
+            }
+        }
+    })
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
@@ -25,6 +25,9 @@
     /** Excludes [instance] from new work at once, because one of its answers said so. */
     fun reportDraining(instance: InstanceId)
 
+    /** Has [instance], which failed another process, describe itself soon. */
+    fun probe(instance: InstanceId)
+
     /** Calls [listener] after each change. */
     fun addListener(listener: () -> Unit)
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
@@ -122,6 +122,16 @@
     fun reportDraining(instance: InstanceId, nowMs: Long): Boolean =
         changeReported(instance) { it.reportedDraining(nowMs) }
 
+    /** Makes the next description of [instance] due, unless it is excluded already. */
+    @Synchronized
+    fun probe(instance: InstanceId, nowMs: Long) {
+        val member = find(instance)?.takeIf { it.isPresent(instance) } ?: return
+        if (!member.unreachable) {
+            members[member.listed.instance] =
+                member.copy(nextDescribeAtMs = minOf(member.nextDescribeAtMs, nowMs))
+        }
+    }
+
     private fun changeReported(instance: InstanceId, change: (Member) -> Member): Boolean {
         val member = find(instance)?.takeIf { it.isPresent(instance) } ?: return false
         return change(member.listed.instance, change)
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
@@ -63,6 +63,8 @@
     override fun reportDraining(instance: InstanceId) =
         excluded(instance, "draining", table.reportDraining(instance, nowMs()))
 
+    override fun probe(instance: InstanceId) = table.probe(instance, nowMs())
+
     override fun addListener(listener: () -> Unit) {
         listeners += listener
     }
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/membership/MembershipTableSpec.kt
@@ -189,6 +189,19 @@
             }
         }
 
+        describe("an instance that failed another process") {
+            // Guards against a round of descriptions that hides a failure for minutes.
+            it("is asked at once, and stays available until its own answer fails") {
+                val table = table()
+                table.applyList(listOf(listed("a")))
+                table.described(A, described("a"), 10, 20)
+                table.takeDue(100).shouldBeEmpty()
+                table.probe(A, 100)
+                table.available() shouldHaveSize 1
+                table.takeDue(100).map { it.instance } shouldBe listOf(A)
+            }
+        }
+
         describe("an unreachable instance") {
             // Guards against last attempts at instances that said that they take no work.
             it("is offered as a last resort, unless it drains or leaves") {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.jacinthlink.api.Holding
+import org.jacinthlink.decision.placement.PlacementLimits
 import org.jacinthlink.runtime.daemon.DaemonSettings
 import org.jacinthlink.runtime.daemon.checkDaemon
 import org.jacinthlink.runtime.settings.Validation
@@ -15,7 +16,8 @@
  * @property keyValueUrl Base URL of the platform's key-value service.
  * @property weightStoreUrl Base URL of the platform's weight store.
  * @property backendServerUrl Base URL of the engine or plain service beside this sidecar.
- * @property holding What the backend server serves.
+ * @property holding What the backend server serves; a runner returns to it after it stood in for
+ *   others.
  */
 @Serializable
 data class SidecarSettings(
@@ -26,7 +28,8 @@
     val backendServerUrl: String,
     val holding: Holding,
     val stage: StageLimits = StageLimits(),
-    val head: HeadLimits = HeadLimits()
+    val head: HeadLimits = HeadLimits(),
+    val placement: PlacementLimits = PlacementLimits()
 )
 
 /** Checks [settings] for what their types cannot state. */
@@ -42,6 +45,7 @@
     }
     checkStageLimits(settings.stage)
     checkHeadLimits(settings.head)
+    checkPlacement(settings.placement)
 }
 
 private fun Validation.checkStage(stage: Holding.Stage) {
@@ -61,6 +65,13 @@
     inRange("stage.idleStreamMs", limits.idleStreamMs, 1_000L..3_600_000L)
 }
 
+private fun Validation.checkPlacement(limits: PlacementLimits) {
+    limits.maxLayers?.let { inRange("placement.maxLayers", it, 1..10_000) }
+    inRange("placement.gapMs", limits.gapMs, 500L..600_000L)
+    inRange("placement.rankDelayMs", limits.rankDelayMs, 100L..600_000L)
+    inRange("placement.returnMs", limits.returnMs, 1_000L..3_600_000L)
+}
+
 private fun Validation.checkHeadLimits(limits: HeadLimits) {
     limits.maxRunningStreams?.let { inRange("head.maxRunningStreams", it, 1..100_000) }
     inRange("head.heartbeatMs", limits.heartbeatMs, 10L..1_000L)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RouteBook.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RouteBook.kt
@@ -71,19 +71,7 @@
         return rotation
     }
 
-    private fun plan(): FlowPlan {
-        val others =
-            membership
-                .instances()
-                .map { it.description }
-                .filter { it.ready && !it.draining && it.instance != self.instance }
-                .mapNotNull { known ->
-                    (known.holding as? Holding.Stage)?.let {
-                        FlowStage(known.instance, known.address, known.availabilityZone, it)
-                    }
-                }
-        return flowPlan(self.holding.model, others + self)
-    }
+    private fun plan(): FlowPlan = flowPlan(self.holding.model, membership.stagesWith(self))
 }
 
 private fun Holding.Stage.isSameRange(other: Holding.Stage): Boolean =
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicBoolean
 import org.http4k.core.HttpHandler
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.RouteStage
@@ -16,7 +17,8 @@
     private val engine: EngineGuard,
     private val head: StageHead?
 ) {
-    val handler: HttpHandler = stageRoutes(runner, head?.head)
+    val handler: HttpHandler =
+        stageRoutes(runner, head?.head) { it.forEach(parts.membership::probe) }
 
     /** False while the engine is away or frozen, so that no head starts a stream here. */
     val ready: Boolean
@@ -90,6 +92,7 @@
             events = parts.events,
             limits = parts.headLimits
         )
+    val notices = FailureNotices(self, parts.membership, peers, executor, parts.clock)
     val rerouter = Rerouter(runner, peers)
     val failover =
         Failover(head, parts.instance, rerouter, executor, parts.clock, parts.events)
@@ -100,7 +103,7 @@
             runner,
             peers,
             failover,
-            parts.membership,
+            notices,
             executor,
             parts.events,
             parts.headLimits
@@ -108,11 +111,14 @@
     runner.localHead = head
     head.ready = engine::ready
     head.onStagesFailed = { key, stages ->
-        stages.forEach(parts.membership::reportUnreachable)
+        notices.report(stages)
         failover.begin(key, stages)
     }
-    parts.membership.addListener(head::routesChanged)
-    parts.configuration.addListener { head.classesChanged(it.classes) }
+    // Listeners cannot be removed, and outlive a stage whose runner changed its layers.
+    val isOpen = AtomicBoolean(true)
+    parts.scope.onClose { isOpen.set(false) }
+    parts.membership.addListener { if (isOpen.get()) head.routesChanged() }
+    parts.configuration.addListener { if (isOpen.get()) head.classesChanged(it.classes) }
     return StageHead(head, watchdog)
 }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.api.StageFault
 import org.jacinthlink.api.StageProgress
 import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.SuspectReport
 import org.jacinthlink.api.TokenBatch
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerClient
@@ -43,6 +44,15 @@
             ReleaseStreams.serializer()
         )
 
+    fun sendSuspects(address: String, report: SuspectReport): PeerReply<ReleaseStreams> =
+        post(
+            address,
+            StagePaths.SUSPECTS,
+            SuspectReport.serializer(),
+            report,
+            ReleaseStreams.serializer()
+        )
+
     fun reroute(address: String, order: Reroute): PeerReply<RerouteAnswer> =
         post(
             address,
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRoutes.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRoutes.kt
@@ -9,6 +9,7 @@
 import org.http4k.core.Status
 import org.jacinthlink.api.HopAck
 import org.jacinthlink.api.HopBatch
+import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ReleaseStreams
@@ -19,18 +20,27 @@
 import org.jacinthlink.api.StageFault
 import org.jacinthlink.api.StageProgress
 import org.jacinthlink.api.StreamOpen
+import org.jacinthlink.api.SuspectReport
 import org.jacinthlink.api.TokenBatch
 import org.jacinthlink.runtime.http.PushBody
 import org.jacinthlink.runtime.http.errorResponse
 import org.jacinthlink.runtime.http.jsonResponse
 
 /** Endpoints of a model stage; [head] is present on the first stage only. */
-internal fun stageRoutes(runner: StageRunner, head: Head?): HttpHandler {
-    val routes = StageRoutes(runner, head)
+internal fun stageRoutes(
+    runner: StageRunner,
+    head: Head?,
+    onSuspects: (List<InstanceId>) -> Unit
+): HttpHandler {
+    val routes = StageRoutes(runner, head, onSuspects)
     return { request -> routes.handle(request) }
 }
 
-private class StageRoutes(private val runner: StageRunner, private val head: Head?) {
+private class StageRoutes(
+    private val runner: StageRunner,
+    private val head: Head?,
+    private val onSuspects: (List<InstanceId>) -> Unit
+) {
     fun handle(request: Request): Response {
         val path = request.uri.path
         return try {
@@ -52,6 +62,7 @@
                 answer(HopAck.serializer(), runner.receive(read(request, HopBatch.serializer())))
             StagePaths.TOKENS -> takeTokens(read(request, TokenBatch.serializer()))
             StagePaths.FAULTS -> takeFault(read(request, StageFault.serializer()))
+            StagePaths.SUSPECTS -> takeSuspects(read(request, SuspectReport.serializer()))
             StagePaths.REROUTE -> reroute(read(request, Reroute.serializer()))
             StagePaths.RELEASE -> release(read(request, ReleaseStreams.serializer()))
             StagePaths.PROGRESS ->
@@ -80,6 +91,11 @@
         return answer(ReleaseStreams.serializer(), ReleaseStreams(emptyList()))
     }
 
+    private fun takeSuspects(report: SuspectReport): Response {
+        onSuspects(report.instances)
+        return answer(ReleaseStreams.serializer(), ReleaseStreams(emptyList()))
+    }
+
     private fun reroute(order: Reroute): Response =
         answer(RerouteAnswer.serializer(), RerouteAnswer(runner.reroute(order)))
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Watchdog.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Watchdog.kt
@@ -7,7 +7,6 @@
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.runtime.events.EventLog
-import org.jacinthlink.runtime.membership.Membership
 
 /** Finds the silent stage of streams that wait too long for a token. */
 internal class Watchdog(
@@ -16,7 +15,7 @@
     private val runner: StageRunner,
     private val peers: StagePeers,
     private val failover: Failover,
-    private val membership: Membership,
+    private val notices: FailureNotices,
     private val executor: ExecutorService,
     private val events: EventLog,
     private val limits: HeadLimits
@@ -64,7 +63,7 @@
     private fun reportSilent(stage: FlowStage) {
         if (stage.instance == self) return
         events.record("stage_silent", null, "stage" to stage.instance.value)
-        membership.reportUnreachable(stage.instance)
+        notices.report(setOf(stage.instance))
     }
 
     private fun judge(stream: Overdue, answers: Map<FlowStage, StageProgress?>) {
