Keep claims in sealed slices, and write only the newest one

Cause: a bucket of claims was one value, and each change rewrote the claims of the whole retention. 16 buckets were full after an hour at about 8 calls/s.

Change: a bucket is a ring of 64 values. Only the newest slice is written; a write that finds it a minute old seals it, and the next write opens the following slot, whose claims have expired. The version of the newest slice verifies the whole bucket, so one compare-and-swap for each change is still all there is. Values are deflated. The first slot reads the earlier format, so an upgrade keeps its claims.

Ruled out (docs/at-most-once.md): claims without results in one value (1.4 MB/s at 8 calls/s, worked out), slices named by the clock (a paused sidecar can write to an old one), archives listed in a head value (two more writes each, since values cannot be deleted).

Bytes still grow with the square of the rate.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketCommit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketCommit.kt
@@ -6,7 +6,7 @@
 import org.jacinthlink.api.VersionedValue
 
 /**
- * Plans how [operations] are applied to a bucket of which [cached] is known.
+ * Plans how [operations] are applied to a bucket of which [ring] is known.
  *
  * An attempt owns a claim if a write with its nonce succeeded, or if its nonce is seen in a state
  * that the key-value service held. A write in doubt needs no other resolution: either its nonce is
@@ -14,35 +14,61 @@
  * doubt can no longer take effect.
  */
 fun planCommit(
-    cached: VersionedBucket?,
+    ring: ClaimRing,
     operations: List<ClaimOperation>,
     nowMs: Long,
     limits: ClaimLimits = ClaimLimits()
 ): CommitPlan {
-    if (cached == null) return CommitPlan.Read
-    val change = applyOperations(cached.bucket, operations, nowMs, limits)
-    return if (change.isChanged) {
-        CommitPlan.Swap(cached.version, change.bucket, change.decisions)
-    } else {
-        CommitPlan.Answer(change.decisions)
-    }
+    ring.slotToRead(nowMs, limits)?.let { return CommitPlan.Read(it) }
+    val open = ring.openSlice(nowMs)
+    val change =
+        applyOperations(open.bucket, operations, nowMs, limits) { ring.find(it, nowMs, limits) }
+    if (!change.isChanged) return CommitPlan.Answer(change.decisions)
+    val slot = limits.slotOf(open.generation)
+    val changed = open.copy(bucket = change.bucket)
+    val slice = changed.copy(isSealed = ring.isSealDue(changed, nowMs, limits))
+    return CommitPlan.Swap(slot, ring.versionOf(slot), slice, change.decisions)
 }
 
-/** Evaluates the [result] of the compare-and-swap of [swap]. */
-fun afterSwap(swap: CommitPlan.Swap, result: SwapResult): CommitOutcome =
+/** Evaluates the [result] of the compare-and-swap of [swap], which was planned on [ring]. */
+fun afterSwap(ring: ClaimRing, swap: CommitPlan.Swap, result: SwapResult): CommitOutcome =
     when (result) {
         is SwapResult.Swapped ->
-            CommitOutcome.Settled(VersionedBucket(swap.bucket, result.version), swap.decisions)
-        is SwapResult.Conflict -> CommitOutcome.Conflicting(versionedBucket(result.current))
+            CommitOutcome.Settled(
+                ring.with(swap.slot, VersionedSlice(swap.slice, result.version)),
+                swap.decisions
+            )
+        is SwapResult.Conflict -> CommitOutcome.Conflicting(afterConflict(ring, swap, result))
         is SwapResult.NotSent -> CommitOutcome.NotWritten(result.message)
-        is SwapResult.Unknown -> CommitOutcome.InDoubt(result.message)
+        is SwapResult.Unknown ->
+            CommitOutcome.InDoubt(ring.without(swap.slot), result.message)
     }
 
-/** Decodes a value that was read; null if it is unreadable. An absent key is an empty bucket. */
-fun versionedBucket(value: VersionedValue?): VersionedBucket? {
-    if (value == null) return VersionedBucket(ClaimBucket.of(), 0)
-    return when (val decoded = decodeBucket(value.value)) {
-        is Success -> VersionedBucket(decoded.value, value.version)
+/** Takes the [value] that was read from [slot]; null if it is unreadable or lost. */
+fun afterRead(
+    ring: ClaimRing,
+    slot: Int,
+    value: VersionedValue?,
+    limits: ClaimLimits = ClaimLimits()
+): ClaimRing? {
+    val found = versionedSlice(value) ?: return null
+    val next = ring.with(slot, found)
+    // A known generation implies the ones before it; a slot that lacks its own lost its claims.
+    return next.takeUnless { found.generation < it.requiredGeneration(slot, limits) }
+}
+
+private val VersionedSlice.generation: Long get() = slice?.generation ?: NO_GENERATION
+
+private fun afterConflict(ring: ClaimRing, swap: CommitPlan.Swap, result: SwapResult.Conflict) =
+    versionedSlice(result.current)?.let { ring.with(swap.slot, it) } ?: ring.without(swap.slot)
+
+/** Decodes a value that was read; null if it is unreadable. */
+private fun versionedSlice(value: VersionedValue?): VersionedSlice? {
+    if (value == null) return VersionedSlice(null, 0)
+    return when (val decoded = decodeSlice(value.value)) {
+        is Success -> VersionedSlice(decoded.value, value.version)
         is Failure -> null
     }
 }
+
+private const val NO_GENERATION = -1L
--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketEdit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/BucketEdit.kt
@@ -4,7 +4,8 @@
 internal class BucketEdit(
     bucket: ClaimBucket,
     private val nowMs: Long,
-    private val limits: ClaimLimits
+    private val limits: ClaimLimits,
+    private val older: (String) -> Claim?
 ) {
     val claims: MutableMap<String, Claim> = bucket.claims.toMutableMap()
     var isChanged = false
@@ -19,8 +20,10 @@
             is ClaimOperation.Release -> release(operation)
         }
 
+    private fun find(key: String): Claim? = claims[key] ?: older(key)
+
     private fun begin(operation: ClaimOperation.Begin): ClaimDecision {
-        val present = claims[operation.key]
+        val present = find(operation.key)
         decide(present, operation.bodyHash, operation.nonce)?.let { return it }
         val claim =
             newClaim(operation, operation.bodyHash, ClaimState.CLAIMED)
@@ -41,7 +44,7 @@
         }
 
     private fun complete(operation: ClaimOperation.Complete): ClaimDecision {
-        val present = claims[operation.key]
+        val present = find(operation.key)
         val decision = decide(present, operation.bodyHash, operation.nonce)
         if (decision != null && decision != ClaimDecision.Owned) return decision
         val done =
@@ -59,7 +62,7 @@
     }
 
     private fun cancel(operation: ClaimOperation.Cancel): ClaimDecision {
-        val present = claims[operation.key]
+        val present = find(operation.key)
         val decision = decide(present, operation.bodyHash, operation.nonce)
         if (decision != null && decision != ClaimDecision.Owned) return decision
         val cancelled = newClaim(operation, operation.bodyHash, ClaimState.CANCELLED)
@@ -67,7 +70,7 @@
     }
 
     private fun release(operation: ClaimOperation.Release): ClaimDecision {
-        val present = claims[operation.key]
+        val present = find(operation.key)
         if (present?.nonce == operation.nonce && present.state == ClaimState.CLAIMED) {
             replace(present.copy(state = ClaimState.RELEASED))
         }
@@ -78,7 +81,8 @@
         Claim(
             key = operation.key,
             bodyHash = bodyHash,
-            nonce = operation.nonce,
+            // No attempt owns a claim in a final state.
+            nonce = if (state == ClaimState.CLAIMED) operation.nonce else "",
             state = state,
             claimedAtMs = nowMs,
             dueAtMs = nowMs,
--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimBucket.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimBucket.kt
@@ -2,6 +2,11 @@
 
 /** Claims that share one value of the key-value service, by key. */
 class ClaimBucket private constructor(val claims: Map<String, Claim>, val sizeBytes: Int) {
+    /** Latest expiry of a claim; 0 if there is none. */
+    internal val lastExpiryMs: Long by lazy {
+        claims.values.maxOfOrNull { it.expiresAtMs } ?: 0
+    }
+
     override fun equals(other: Any?) = other is ClaimBucket && other.claims == claims
 
     override fun hashCode() = claims.hashCode()
@@ -18,14 +23,19 @@
     }
 }
 
-/** Applies [operations] in order to [bucket], after dropping its expired claims. */
+/**
+ * Applies [operations] in order to [bucket], after dropping its expired claims.
+ *
+ * @param older Finds a claim that is not in [bucket] in the sealed slices before it.
+ */
 fun applyOperations(
     bucket: ClaimBucket,
     operations: List<ClaimOperation>,
     nowMs: Long,
-    limits: ClaimLimits = ClaimLimits()
+    limits: ClaimLimits = ClaimLimits(),
+    older: (String) -> Claim? = { null }
 ): BucketChange {
-    val edit = BucketEdit(prune(bucket, nowMs, limits), nowMs, limits)
+    val edit = BucketEdit(prune(bucket, nowMs, limits), nowMs, limits, older)
     val decisions = operations.map(edit::apply)
     return if (edit.isChanged) {
         BucketChange(ClaimBucket.of(edit.claims.toMap()), decisions, isChanged = true)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/BucketWriter.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/BucketWriter.kt
@@ -6,16 +6,15 @@
 import java.util.concurrent.TimeUnit
 import org.jacinthlink.api.KeyValueService
 import org.jacinthlink.api.ReadResult
-import org.jacinthlink.decision.claims.ClaimBucket
 import org.jacinthlink.decision.claims.ClaimDecision
 import org.jacinthlink.decision.claims.ClaimOperation
+import org.jacinthlink.decision.claims.ClaimRing
 import org.jacinthlink.decision.claims.CommitOutcome
 import org.jacinthlink.decision.claims.CommitPlan
-import org.jacinthlink.decision.claims.VersionedBucket
+import org.jacinthlink.decision.claims.afterRead
 import org.jacinthlink.decision.claims.afterSwap
-import org.jacinthlink.decision.claims.encodeBucket
+import org.jacinthlink.decision.claims.encodeSlice
 import org.jacinthlink.decision.claims.planCommit
-import org.jacinthlink.decision.claims.versionedBucket
 
 /**
  * Writes one bucket, with one write in flight. Operations that arrive meanwhile share the next
@@ -34,12 +33,12 @@
     private var backoffMs = 0L
 
     // The fields below belong to the one flush that is in progress.
-    private var cached: VersionedBucket? = null
-    private var cachedAtMs = 0L
+    private var ring = ClaimRing.unread()
+    private var seenAtMs = 0L
 
     /** Latest state seen. Its done and cancelled claims are final, however old it is. */
     @Volatile
-    var lastSeen: ClaimBucket = ClaimBucket.of()
+    var lastSeen: ClaimRing = ring
         private set
 
     val isIdle: Boolean get() = synchronized(waiting) { waiting.isEmpty() && !isScheduled }
@@ -75,6 +74,7 @@
                 commit(batch)
             } catch (e: Exception) {
                 logger.error(e) { "event=claim_write_failed key=$storageKey" }
+                ring = ClaimRing.unread()
                 inDoubt(batch)
             }
         synchronized(waiting) {
@@ -89,16 +89,18 @@
         val live = batch.mapNotNull(::liveOrRelease)
         if (live.isEmpty()) return emptyList()
         val nowMs = clocks.monotonic.nowMs()
-        if (live.any { it.needsFreshRead } && nowMs - cachedAtMs >= settings.readIntervalMs) {
-            cached = null
+        if (live.any { it.needsFreshRead } && nowMs - seenAtMs >= settings.readIntervalMs) {
+            ring = ring.withoutNewest(settings.limits)
         }
-        if (cached == null) readBucket()?.let { return unavailable(live, it) }
         val operations = live.map { it.operation }
-        val plan = planCommit(cached, operations, clocks.wall.nowMs(), settings.limits)
-        return when (plan) {
-            CommitPlan.Read -> live
-            is CommitPlan.Answer -> settle(live, plan.decisions)
-            is CommitPlan.Swap -> swap(live, plan)
+        while (true) {
+            val plan = planCommit(ring, operations, clocks.wall.nowMs(), settings.limits)
+            when (plan) {
+                is CommitPlan.Read ->
+                    readSlot(plan.slot)?.let { return unavailable(live, it) }
+                is CommitPlan.Answer -> return settle(live, plan.decisions)
+                is CommitPlan.Swap -> return swap(live, plan)
+            }
         }
     }
 
@@ -125,39 +127,45 @@
             null
         }
 
-    /** Reads the bucket; returns a message if that failed. */
-    private fun readBucket(): String? =
-        when (val read = keyValue.get(storageKey)) {
+    /** Reads [slot]; returns a message if that failed. */
+    private fun readSlot(slot: Int): String? =
+        when (val read = keyValue.get(keyOf(slot))) {
             is ReadResult.Unavailable -> read.message
             is ReadResult.Found -> {
-                val bucket = versionedBucket(read.value)
-                if (bucket != null) cache(bucket)
-                if (bucket == null) "the claims in $storageKey are unreadable" else null
+                val next = afterRead(ring, slot, read.value, settings.limits)
+                if (next != null) seen(next)
+                if (next == null) "the claims in ${keyOf(slot)} are unreadable" else null
             }
         }
 
     private fun swap(live: List<PendingOperation>, plan: CommitPlan.Swap): List<PendingOperation> {
         nextWriteAtMs = clocks.monotonic.nowMs() + settings.writeIntervalMs
-        val value = encodeBucket(plan.bucket)
-        val result = keyValue.compareAndSwap(storageKey, plan.expectedVersion, value)
-        return when (val outcome = afterSwap(plan, result)) {
+        val value = encodeSlice(plan.slice)
+        val result = keyValue.compareAndSwap(keyOf(plan.slot), plan.expectedVersion, value)
+        return when (val outcome = afterSwap(ring, plan, result)) {
             is CommitOutcome.Settled -> {
-                cache(outcome.cached)
+                seen(outcome.ring)
                 settle(live, outcome.decisions)
             }
             is CommitOutcome.Conflicting -> {
-                outcome.cached?.let(::cache) ?: run { cached = null }
+                seen(outcome.ring)
                 live
             }
             is CommitOutcome.NotWritten -> unavailable(live, outcome.message)
-            is CommitOutcome.InDoubt -> inDoubt(live)
+            is CommitOutcome.InDoubt -> {
+                ring = outcome.ring
+                inDoubt(live)
+            }
         }
     }
 
-    private fun cache(bucket: VersionedBucket) {
-        cached = bucket
-        cachedAtMs = clocks.monotonic.nowMs()
-        lastSeen = bucket.bucket
+    /** Storage key of [slot]. The first slot has the key of versions that kept no slices. */
+    private fun keyOf(slot: Int) = if (slot == 0) storageKey else "$storageKey/$slot"
+
+    private fun seen(next: ClaimRing) {
+        ring = next
+        seenAtMs = clocks.monotonic.nowMs()
+        if (next.slotToRead(clocks.wall.nowMs(), settings.limits) == null) lastSeen = next
         backoffMs = 0
     }
 
@@ -171,7 +179,6 @@
         }
 
     private fun inDoubt(live: List<PendingOperation>): List<PendingOperation> {
-        cached = null
         backOff()
         live.forEach { it.isInDoubt = true }
         return live
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStore.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStore.kt
@@ -66,7 +66,7 @@
 
     /** The claim of [key] as last seen, without a call. It may lack later changes. */
     fun lastSeen(key: String): Claim? =
-        writerOf(key).lastSeen.claims[key]?.takeIf { clocks.wall.nowMs() < it.expiresAtMs }
+        writerOf(key).lastSeen.find(key)?.takeIf { clocks.wall.nowMs() < it.expiresAtMs }
 
     /** Waits until all operations are settled; returns false if that takes over [timeoutMs]. */
     fun flush(timeoutMs: Long): Boolean {
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSpec.kt
@@ -4,11 +4,14 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlin.random.Random
+import org.jacinthlink.api.ReadResult
 import org.jacinthlink.api.SwapResult
 import org.jacinthlink.decision.claims.ClaimDecision
+import org.jacinthlink.decision.claims.ClaimLimits
 import org.jacinthlink.decision.claims.ClaimOperation
 import org.jacinthlink.decision.claims.RecordedResult
 
@@ -60,6 +63,25 @@
             }
         }
 
+        describe("a store that starts after slices were sealed") {
+            it("finds the claims of all slices (double execution)") {
+                val keyValue = FakeKeyValueService()
+                val limits = ClaimLimits(maxBucketBytes = 2_000, slotCount = 5)
+                val settings = quick.copy(limits = limits)
+                val keys = (1..30).map { "k$it" }
+                claimStore("desk", keyValue, settings).use { store ->
+                    keys.forEach { store.submit(begin(it, "1-$it"), 2_000).get() shouldBe owned }
+                }
+                keyValue.get("jacinthlink/claims/desk/0/3")
+                    .shouldBeInstanceOf<ReadResult.Found>().value.shouldNotBeNull()
+                claimStore("desk", keyValue, settings).use { store ->
+                    keys.map { store.submit(begin(it, "2-$it"), 2_000).get() }
+                        .map { (it as ClaimResult.Decided).decision }
+                        .forEach { it.shouldBeInstanceOf<ClaimDecision.Held>() }
+                }
+            }
+        }
+
         describe("a caller that gives up before its claim is written") {
             it("leaves no claim behind (a call that is blocked for the whole retention)") {
                 listOf(WriteFault.NONE, WriteFault.LOST_APPLIED).forEach { fault ->
