--- a/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
@@ -2,6 +2,8 @@
 
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
 import org.jacinthlink.api.Headers
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.RequestId
@@ -23,6 +25,10 @@
 
 /** Runs a whole site in this JVM, shows a streamed answer and an idempotent booking, and ends. */
 internal class DemoCommand : Command("demo", "Runs a whole site in one JVM and shows a request") {
+    private val stay by
+        option(ArgType.Boolean, "stay", description = "keep the site up until it is interrupted")
+            .default(false)
+
     override fun run(): ExitCode {
         silenceEvents()
         val client = peerClient()
@@ -50,6 +56,7 @@
         val requestId = stream(entries[0], client)
         requestId?.let { showStages(site, it) }
         showBooking(site, entries, client)
+        if (stay) stay(site)
         return if (requestId == null) ExitCode.REFUSED else ExitCode.OK
     }
 
@@ -76,6 +83,12 @@
         return printer.await(STREAM_TIMEOUT_MS)
     }
 
+    private fun stay(site: LocalSite) {
+        println("\nthe site stays up; operator token: ${LocalSite.OPERATOR_TOKEN}")
+        site.stages.forEach { println("  ${it.name}: engine at ${it.engine.address}") }
+        Thread.currentThread().join()
+    }
+
     private fun showStages(site: LocalSite, requestId: RequestId) {
         println("\nstages of request ${requestId.value}:")
         site.stages.forEach { stage ->
--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
@@ -12,7 +12,6 @@
 import org.jacinthlink.api.Failure
 import org.jacinthlink.api.Outcome
 import org.jacinthlink.api.ProtocolJson
-import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
 import org.jacinthlink.api.WorkClass
@@ -20,6 +19,7 @@
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.heads.HeadDirectory
 import org.jacinthlink.runtime.configuration.AppliedChange
+import org.jacinthlink.runtime.events.EventFilter
 import org.jacinthlink.runtime.http.errorResponse
 import org.jacinthlink.runtime.http.jsonResponse
 
@@ -75,11 +75,19 @@
         )
 
     private fun events(request: Request): Response {
-        val id = request.query("request_id")
-        if (id == null || !REQUEST_ID.matches(id)) {
-            return errorResponse(ResultCode.MALFORMED_REQUEST, "query request_id is needed")
+        val given = EVENT_QUERIES.mapNotNull { name -> request.query(name)?.let { name to it } }
+        val (name, value) = given.singleOrNull() ?: (null to "")
+        if (name == null || !EVENT_SUBJECT.matches(value)) {
+            val message = "one of the queries ${EVENT_QUERIES.joinToString()} is needed"
+            return errorResponse(ResultCode.MALFORMED_REQUEST, message)
         }
-        return json(EventsAnswer.serializer(), events.gather(RequestId(id)))
+        val filter =
+            when (name) {
+                "class" -> EventFilter.OfClass(value)
+                "fault" -> EventFilter.OfFault(value)
+                else -> EventFilter.OfRequests(setOf(value))
+            }
+        return json(EventsAnswer.serializer(), events.gather(filter))
     }
 
     private fun changeClass(request: Request, name: String): Response =
@@ -148,6 +156,9 @@
 
     private companion object {
         const val SHOWN = 64
-        val REQUEST_ID = Regex("[A-Za-z0-9._-]{1,64}")
+        val EVENT_QUERIES = listOf("request_id", "class", "fault")
+
+        // Instance ids are a name of up to 64 characters, "~" and eight digits.
+        val EVENT_SUBJECT = Regex("[A-Za-z0-9._~-]{1,80}")
     }
 }
--- a/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
@@ -162,6 +162,10 @@
                         gathered shouldContain "\"name\":\"$it\""
                     }
                     gathered shouldContain "\"missing\":[\"s1\"]"
+                    val byClass = "/v1/admin/events?class=urgent"
+                    post(byClass, headers = operator, method = "GET").body shouldBe gathered
+                    val both = "$path&class=urgent"
+                    post(both, headers = operator, method = "GET").status shouldBe 400
                 }
             }
         }
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
+import org.jacinthlink.api.ListedInstance
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.Role
@@ -33,6 +34,8 @@
 import org.jacinthlink.runtime.http.peerClient
 import org.jacinthlink.runtime.http.startHttpServer
 import org.jacinthlink.runtime.membership.KnownInstance
+import org.jacinthlink.runtime.membership.KnownMember
+import org.jacinthlink.runtime.membership.MemberState
 import org.jacinthlink.runtime.membership.Membership
 import org.jacinthlink.runtime.supervision.rootScope
 import org.jacinthlink.runtime.systemClock
@@ -49,6 +52,15 @@
 
     override fun unreachable(): List<KnownInstance> = unreachable.toList()
 
+    override fun members(): List<KnownMember> =
+        known.map { KnownMember(listed(it), it, MemberState.AVAILABLE) } +
+            unreachable.map { KnownMember(listed(it), it, MemberState.UNREACHABLE) }
+
+    private fun listed(known: KnownInstance) =
+        known.description.let {
+            ListedInstance(it.instance, it.role, it.address, it.availabilityZone)
+        }
+
     override val isComplete: Boolean = true
 
     override fun reportUnreachable(instance: InstanceId) {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -10,9 +10,9 @@
 import org.jacinthlink.api.Headers
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.ProtocolJson
-import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.runtime.events.Event
+import org.jacinthlink.runtime.events.EventFilter
 import org.jacinthlink.runtime.http.errorResponse
 import org.jacinthlink.runtime.http.jsonResponse
 import org.jacinthlink.runtime.membership.PeerInstanceList
@@ -96,11 +96,23 @@
         )
 
     private fun events(request: Request): Response {
-        val events = shell.eventLog.recent(request.query("request_id")?.let(::RequestId))
+        val events = shell.eventLog.recent().filter(eventFilter(request)::matches)
         val serializer = ListSerializer(Event.serializer())
         return jsonResponse(Status.OK, ProtocolJson.encodeToString(serializer, events))
     }
 
+    private fun eventFilter(request: Request): EventFilter {
+        val requestIds = request.queries("request_id").filterNotNull().toSet()
+        val workClass = request.query("class")
+        val fault = request.query("fault")
+        return when {
+            requestIds.isNotEmpty() -> EventFilter.OfRequests(requestIds)
+            workClass != null -> EventFilter.OfClass(workClass)
+            fault != null -> EventFilter.OfFault(fault)
+            else -> EventFilter.All
+        }
+    }
+
     private fun drain(request: Request): Response {
         if (request.method != Method.POST) {
             return errorResponse(ResultCode.METHOD_NOT_ALLOWED, "use POST")
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Member.kt
@@ -30,6 +30,17 @@
     fun isPresent(instance: InstanceId): Boolean =
         description == null || instance == description.instance || instance == listed.instance
 
+    /** State as operators see it. */
+    val state: MemberState
+        get() =
+            when {
+                listed.leaving || draining || description?.draining == true -> MemberState.DRAINING
+                unreachable -> MemberState.UNREACHABLE
+                description == null -> MemberState.UNKNOWN
+                !description.ready -> MemberState.NOT_READY
+                else -> MemberState.AVAILABLE
+            }
+
     /** True until the first description arrives or fails. */
     val isNew: Boolean get() = description == null && failures == 0
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/Membership.kt
@@ -16,6 +16,9 @@
      */
     fun unreachable(): List<KnownInstance>
 
+    /** All other listed instances, whatever their state. */
+    fun members(): List<KnownMember>
+
     /** True once the list was read and each instance on it was described or asked in vain. */
     val isComplete: Boolean
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/MembershipTable.kt
@@ -39,6 +39,11 @@
     @Synchronized
     fun listed(): List<ListedInstance> = members.values.map { it.listed }
 
+    /** All listed instances with their states. */
+    @Synchronized
+    fun members(): List<KnownMember> =
+        members.values.map { KnownMember(it.listed, it.known(), it.state) }
+
     /** Listed instances that are worth a call: neither leaving nor unreachable. */
     @Synchronized
     fun reachable(): List<ListedInstance> =
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
@@ -55,6 +55,8 @@
 
     override fun unreachable(): List<KnownInstance> = table.unreachable()
 
+    override fun members(): List<KnownMember> = table.members()
+
     override val isComplete: Boolean get() = table.isComplete()
 
     override fun reportUnreachable(instance: InstanceId) =
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/events/EventLogSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/events/EventLogSpec.kt
@@ -55,6 +55,20 @@
             }
         }
 
+        describe("a filter of events") {
+            // Guards against a time line that lacks the fault, or shows those of others.
+            it("finds what concerns a failed instance under its name and its id") {
+                val fault = Event("s-1~b", "stage_fault", 0, 1, "r", mapOf("stage" to "s-2~a"))
+                val other = fault.copy(fields = mapOf("stage" to "s-22~a"))
+                listOf("s-2", "s-2~a", "s-1", "stage_fault").forEach {
+                    withClue(it) { EventFilter.OfFault(it).matches(fault) shouldBe true }
+                }
+                EventFilter.OfFault("s-2").matches(other) shouldBe false
+                val usual = fault.copy(name = "stream_started")
+                EventFilter.OfFault("s-2").matches(usual) shouldBe false
+            }
+        }
+
         describe("the logical clock") {
             it("sorts an effect after its cause although the wall clock of its process is behind") {
                 val ahead = logicalClock()
