Show in the status how targets are met and why work is held back

Cause: the status listed only instances that take work, with targets but without how they are met, so a draining or unreachable instance vanished and an operator had to read each entry's metrics.

Each entry keeps the ended requests of each class over the last minute, with the times to the first answer in buckets 5% apart, and tells them to the entry that is asked. Buckets can be added; averaging percentiles of entries was ruled out because it hides a slow entry. Requests refused before dispatch now count for their class, if it is configured. All listed instances are shown with their states. The document of the configuration does not keep a reason for a quarantined content; crashes are the only cause, so the status states that.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -32,7 +32,7 @@
     val isSettling: Boolean
         get() = !membership.isComplete && clock.nowMs() - startedAtMs < limits.settlingMs
 
-    val metrics = EntryMetrics(meters)
+    val metrics = EntryMetrics(meters, clock, configuration)
 
     /** For short calls beside requests, as probes. */
     val background = boundedExecutor(scope, "background", threads = 16, queued = 512)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
@@ -9,6 +9,7 @@
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.entry.admin.ADMIN_PREFIX
 import org.jacinthlink.entry.admin.AdminRoutes
+import org.jacinthlink.entry.admin.FIGURES_PATH
 import org.jacinthlink.entry.calls.CallService
 import org.jacinthlink.entry.calls.SERVICES_PREFIX
 import org.jacinthlink.entry.chat.CRASHES_PATH
@@ -40,6 +41,7 @@
             path == CHAT_PATH -> withId { chat(request, it) }
             path.startsWith(SERVICES_PREFIX) -> withId { calls.handle(request, it) }
             path == CRASHES_PATH -> chat.handleCrashes(request)
+            path == FIGURES_PATH -> admin.ownFigures()
             path.startsWith(ADMIN_PREFIX) -> admin.handle(request)
             else -> errorResponse(ResultCode.NOT_FOUND, "no route $path")
         }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
@@ -15,7 +15,6 @@
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
 import org.jacinthlink.api.WorkClass
-import org.jacinthlink.decision.routing.FlowPlan
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.heads.HeadDirectory
 import org.jacinthlink.runtime.configuration.AppliedChange
@@ -30,6 +29,11 @@
 internal class AdminRoutes(private val context: EntryContext, private val heads: HeadDirectory) {
     private val operators = OperatorCheck(context.settings.operatorToken)
     private val events = EventGatherer(context)
+    private val figures = FiguresGatherer(context)
+    private val status = StatusReport(context, heads, figures)
+
+    /** Answers another entry. */
+    fun ownFigures(): Response = figures.own()
 
     fun handle(request: Request): Response {
         if (!operators.isOperator(request)) {
@@ -51,28 +55,7 @@
 
     private fun config() = json(Configuration.serializer(), context.configuration.current)
 
-    private fun status(): Response {
-        val answer =
-            StatusAnswer(
-                context.instance,
-                context.configuration.current.revision,
-                context.isDraining(),
-                context.membership.instances().map {
-                    InstanceStatus(it.description, it.describedAtMs)
-                },
-                heads.plans().values.map(::modelStatus)
-            )
-        return json(StatusAnswer.serializer(), answer)
-    }
-
-    private fun modelStatus(plan: FlowPlan) =
-        ModelStatus(
-            plan.model,
-            plan.boundTokensPerSecond,
-            plan.stages.count { it.holding.isHead },
-            plan.stages.size,
-            plan.routes.size
-        )
+    private fun status() = json(StatusAnswer.serializer(), status.answer())
 
     private fun events(request: Request): Response {
         val given = EVENT_QUERIES.mapNotNull { name -> request.query(name)?.let { name to it } }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
@@ -41,7 +41,7 @@
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> dispatch(accepted.value)
-            is Failure -> context.refuse(accepted, requestId)
+            is Failure -> context.refuse(accepted, request, requestId)
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<CallJob> {
@@ -132,7 +132,13 @@
             "failed_attempts" to attemptCount,
             "elapsed_ms" to elapsedMs
         )
-        context.metrics.ended(job.workClass.name, failure?.code, attemptCount)
+        context.metrics.ended(
+            job.workClass.name,
+            failure?.code,
+            attemptCount,
+            failure?.notRun ?: false,
+            elapsedMs
+        )
         context.metrics.callAnswered(job.workClass.name, elapsedMs)
         open.decrementAndGet()
     }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -27,6 +27,7 @@
     private var wasAccepted = false
     private var isolated = false
     private var waitsSinceMs: Long? = null
+    private var firstTokenMs: Long? = null
     private var lastTokenAtMs = 0L
 
     // Time of the first acceptance or of the latest token.
@@ -112,8 +113,10 @@
         }
         val nowMs = now()
         if (tokens.isEmpty()) {
-            record("first_token", "elapsed_ms" to nowMs - job.receivedAtMs)
-            context.metrics.firstToken(className(), nowMs - job.receivedAtMs)
+            val elapsedMs = nowMs - job.receivedAtMs
+            firstTokenMs = elapsedMs
+            record("first_token", "elapsed_ms" to elapsedMs)
+            context.metrics.firstToken(className(), elapsedMs)
         } else {
             context.metrics.tokenGap(className(), nowMs - lastTokenAtMs)
         }
@@ -276,7 +279,13 @@
             "attempts" to attemptCount,
             "elapsed_ms" to now() - job.receivedAtMs
         )
-        context.metrics.ended(className(), failure?.code, attemptCount)
+        context.metrics.ended(
+            className(),
+            failure?.code,
+            attemptCount,
+            failure?.notRun ?: false,
+            firstTokenMs
+        )
         onDone()
     }
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -54,7 +54,7 @@
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> relay(accepted.value)
-            is Failure -> context.refuse(accepted, requestId)
+            is Failure -> context.refuse(accepted, request, requestId)
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<ChatJob> {
--- a/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/CallSpec.kt
@@ -147,8 +147,11 @@
                         "\"revision\":1"
                     configuration.current.classes.getValue("new").targetMs shouldBe 900
                     post("/v1/admin/classes/new", "{}", operator, "PUT").status shouldBe 400
-                    post("/v1/admin/status", headers = operator, method = "GET").body shouldContain
-                        "\"instance\":\"s1\""
+                    post(PATH, "{}", KEYED)
+                    val status = post("/v1/admin/status", headers = operator, method = "GET").body
+                    status shouldContain "\"instance\":\"s1\""
+                    // Guards against requests that are missing from the figures of their class.
+                    status shouldContain "\"ended\":1,\"within_share\":1.0"
                 }
             }
             // Guards against a time line that silently lacks an instance.
