Let entries stop and start behind a load balancer without refusals

Cause: an entry refused requests with 2004 as soon as a graceful stop began, while a load balancer sends them until its next check of /health. A new entry was healthy before it had read the configuration and asked the listed instances, and refused with 1003 and 2003.

Ruled out: sidecars. Refusing with a hint to retry was ruled out too: a planned stop must not cost a caller its request.

StartEntrySpec expected /health to be 200 at once without any platform. It now expects 503 for the settling time and 200 after it, and that a draining entry still takes requests.

Conclusion: an entry gives notice for limits.drainNoticeMs in a graceful stop, and is healthy once it knows the configuration and the instances, or after limits.settlingMs.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
@@ -7,6 +7,7 @@
 import org.jacinthlink.api.LoadOrder
 import org.jacinthlink.api.ModelManifest
 import org.jacinthlink.api.Role
+import org.jacinthlink.entry.EntryLimits
 import org.jacinthlink.entry.EntrySettings
 import org.jacinthlink.runtime.RunningProcess
 import org.jacinthlink.runtime.daemon.DaemonSettings
@@ -88,7 +89,8 @@
                 daemon(name, zone),
                 "http://${instanceList.address}",
                 "http://${keyValue.address}",
-                OPERATOR_TOKEN
+                OPERATOR_TOKEN,
+                EntryLimits(drainNoticeMs = DRAIN_NOTICE_MS)
             )
         val entry = SiteEntry(name, settings, launcher.entry(settings))
         entries += entry
@@ -163,6 +165,9 @@
 
         /** Token of the processes of local sites. */
         const val PEER_TOKEN = "local-site-peer-token"
+
+        // Health checks of a local site are many times as frequent as those of a platform.
+        private const val DRAIN_NOTICE_MS = 2_000L
         private const val LAYER_SIZE_BYTES = 1_000_000_000L
     }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -10,7 +10,11 @@
 import org.jacinthlink.runtime.membership.Membership
 import org.jacinthlink.runtime.supervision.Scope
 
-/** What the parts of an entry work with. */
+/**
+ * What the parts of an entry work with.
+ *
+ * @property isDraining True once a graceful stop began.
+ */
 internal class EntryContext(
     val instance: InstanceId,
     val settings: EntrySettings,
@@ -26,11 +30,16 @@
 ) {
     val limits: EntryLimits get() = settings.limits
     val availabilityZone: String get() = settings.daemon.availabilityZone
+
+    /** True once new requests are refused in a graceful stop. */
+    @Volatile var isClosed = false
+
     private val startedAtMs = clock.nowMs()
 
-    /** True while the membership may not know all instances yet, for a bounded time. */
+    /** True while instances or classes of work may not be known yet, for a bounded time. */
     val isSettling: Boolean
-        get() = !membership.isComplete && clock.nowMs() - startedAtMs < limits.settlingMs
+        get() = !(membership.isComplete && configuration.isKnown) &&
+            clock.nowMs() - startedAtMs < limits.settlingMs
 
     val metrics = EntryMetrics(meters)
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryLimits.kt
@@ -11,7 +11,10 @@
  * @property callThreads Plain calls in execution at the same time.
  * @property maxQueuedCalls Plain calls that wait for a thread; further ones are refused.
  * @property settlingMs Longest time after the start in which models and services that are not known
- *   yet count as unavailable, not as unknown. It ends once all listed instances were asked.
+ *   yet count as unavailable, not as unknown. It ends once all listed instances were asked and the
+ *   configuration was read. `/health` tells the load balancer to wait until then.
+ * @property drainNoticeMs Time from the beginning of a graceful stop in which requests are still
+ *   taken. It must exceed the time that the load balancer needs to act on `/health`.
  */
 @Serializable
 data class EntryLimits(
@@ -23,5 +26,6 @@
     val claimBuckets: Int = 16,
     val callThreads: Int = 64,
     val maxQueuedCalls: Int = 256,
-    val settlingMs: Long = 5_000
+    val settlingMs: Long = 5_000,
+    val drainNoticeMs: Long = 5_000
 )
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntrySettings.kt
@@ -41,6 +41,7 @@
     inRange("limits.callThreads", limits.callThreads, 1..1_000)
     inRange("limits.maxQueuedCalls", limits.maxQueuedCalls, 1..10_000)
     inRange("limits.settlingMs", limits.settlingMs, 0L..60_000L)
+    inRange("limits.drainNoticeMs", limits.drainNoticeMs, 0L..600_000L)
 }
 
 private const val MIN_TOKEN_LENGTH = 16
--- a/entry/src/main/kotlin/org/jacinthlink/entry/StartEntry.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/StartEntry.kt
@@ -42,8 +42,9 @@
     return startDaemon(setup) { context -> EntryLogic(settings, context) }
 }
 
-private class EntryLogic(settings: EntrySettings, context: DaemonContext) : DaemonLogic {
-    private val server = EntryServer(entryContext(settings, context)).apply { start() }
+private class EntryLogic(settings: EntrySettings, daemon: DaemonContext) : DaemonLogic {
+    private val context = entryContext(settings, daemon)
+    private val server = EntryServer(context).apply { start() }
 
     override val handler: HttpHandler = server::handle
 
@@ -52,6 +53,15 @@
     override fun state() = DaemonState()
 
     override fun openWork(): Int = server.openRequests
+
+    override val isSettled: Boolean
+        get() = !context.isSettling
+
+    override val drainNoticeMs = settings.limits.drainNoticeMs
+
+    override fun onDrain() {
+        context.isClosed = true
+    }
 }
 
 private fun entryContext(settings: EntrySettings, context: DaemonContext) =
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallService.kt
@@ -45,7 +45,7 @@
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<CallJob> {
-        if (context.isDraining()) return Failure(ResultCode.DRAINING, "the entry is stopping")
+        if (context.isClosed) return Failure(ResultCode.DRAINING, "the entry is stopping")
         val caller =
             when (val identity = callerIdentity(request, context.configuration.current)) {
                 is Success -> identity.value
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -58,7 +58,7 @@
         }
 
     private fun accept(request: Request, requestId: RequestId): Outcome<ChatJob> {
-        if (context.isDraining()) return Failure(ResultCode.DRAINING, "the entry is stopping")
+        if (context.isClosed) return Failure(ResultCode.DRAINING, "the entry is stopping")
         val caller =
             when (val identity = callerIdentity(request, context.configuration.current)) {
                 is Success -> identity.value
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -116,6 +116,10 @@
     val opened = CopyOnWriteArrayList<StreamOpen>()
     val called = CopyOnWriteArrayList<String>()
     var draining = false
+        set(value) {
+            field = value
+            context.isClosed = value
+        }
     private val clock = systemClock()
     private val log = eventLog("entry", clock)
     private val scope = rootScope("entry", log)
--- a/entry/src/test/kotlin/org/jacinthlink/entry/StartEntrySpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/StartEntrySpec.kt
@@ -22,10 +22,11 @@
       port: $port
       availabilityZone: howrah
       peerToken: peer-token-of-the-tests
-      drainTimeoutMs: 1000
+      drainTimeoutMs: 3000
     instanceListUrl: http://127.0.0.1:1
     keyValueUrl: http://127.0.0.1:1
     operatorToken: $token
+    limits: {settlingMs: 1000, drainNoticeMs: 1000}
     """.trimIndent()
 
 private fun settings(text: String) =
@@ -59,6 +60,9 @@
                 val entry = start().shouldBeInstanceOf<Success<RunningProcess>>().value
                 fun status(path: String) =
                     get(entry, path).shouldBeInstanceOf<PeerResult.Answered>().status
+                // Without its platform, the entry waits for the settling time before it serves.
+                status("/health") shouldBe 503
+                Thread.sleep(1_100)
                 status("/health") shouldBe 200
                 status("/v1/describe") shouldBe 401
                 status("/v1/crashes") shouldBe 401
@@ -67,6 +71,9 @@
                 val port = entry.address.substringAfter(':').toInt()
                 start(port).shouldBeInstanceOf<Failure>().code shouldBe ResultCode.ADDRESS_IN_USE
                 entry.drain()
+                // Guards against refusals before a load balancer has seen the answer of /health.
+                status("/health") shouldBe 503
+                status("/v1/services/ledger/x") shouldBe 400
                 CompletableFuture.runAsync(entry::awaitStopped).get(10, TimeUnit.SECONDS)
                 get(entry, "/health").shouldBeInstanceOf<PeerResult.NotSent>()
             }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
@@ -6,6 +6,7 @@
 import org.jacinthlink.cli.site.LocalSite
 import org.jacinthlink.cli.site.SitePlan
 import org.jacinthlink.cli.site.demoPlan
+import org.jacinthlink.runtime.RunningProcess
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.runtime.http.peerClient
@@ -37,6 +38,34 @@
 
     fun process(name: String): JvmProcess = launcher.processes.getValue(name)
 
+    /**
+     * Stops [names] gracefully, all at once, and starts each again with its settings.
+     *
+     * As a platform does, it goes on once each new process is healthy and serves its peers.
+     */
+    fun restart(names: List<String>) {
+        val old = names.map(::process)
+        old.forEach { it.drain() }
+        old.forEach { check(it.awaitEnd(40_000)) { "${it.name} does not end" } }
+        startAgain(names)
+    }
+
+    /** Starts [names] again, which have ended, and waits until their peers use them. */
+    fun startAgain(names: List<String>) {
+        names.forEach(::launchAgain)
+        names.forEach { process(it).awaitHealthy() }
+    }
+
+    private fun launchAgain(name: String): RunningProcess {
+        val sidecars = site.stages.map { it.settings } + site.services.map { it.settings }
+        val sidecar = sidecars.firstOrNull { it.daemon.name == name }
+        return if (sidecar != null) {
+            launcher.sidecar(sidecar)
+        } else {
+            launcher.entry(site.entries.first { it.name == name }.settings)
+        }
+    }
+
     /** Changes a class through the entry at [entry]. */
     fun putClass(entry: String, workClass: WorkClass, ifMatch: Long? = null): PeerResult {
         val body = ProtocolJson.encodeToString(WorkClass.serializer(), workClass)
@@ -62,7 +91,10 @@
         return client.call(PeerCall(method, "http://$entry$path", body, headers), 15_000, true)
     }
 
-    override fun close() = site.close()
+    override fun close() {
+        launcher.processes.values.forEach { it.stop() }
+        site.close()
+    }
 }
 
 /** Executions of the booking [reference] over all order desks. */
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationStore.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationStore.kt
@@ -12,6 +12,10 @@
     override var current: Configuration = Configuration()
         private set
 
+    @Volatile
+    override var isKnown = false
+        private set
+
     override fun addListener(listener: (Configuration) -> Unit) {
         listeners += listener
     }
@@ -23,7 +27,13 @@
      */
     @Synchronized
     fun offer(document: Configuration, source: String): Boolean {
-        if (document.revision <= current.revision) return false
+        val isNewer = document.revision > current.revision
+        if (isNewer) take(document, source)
+        isKnown = true
+        return isNewer
+    }
+
+    private fun take(document: Configuration, source: String) {
         val before = current.revision
         current = document
         eventLog.record(
@@ -34,7 +44,6 @@
             "source" to source
         )
         listeners.forEach { notifySafely(it, document) }
-        return true
     }
 
     private fun notifySafely(listener: (Configuration) -> Unit, document: Configuration) {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationView.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationView.kt
@@ -7,6 +7,9 @@
     /** Latest document known. Its revision never falls. */
     val current: Configuration
 
+    /** True once the document, or that there is none yet, was read from any source. */
+    val isKnown: Boolean get() = true
+
     /** Calls [listener] after each newer document. */
     fun addListener(listener: (Configuration) -> Unit)
 }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -64,10 +64,11 @@
 
     /** A load balancer takes a process out when this is not 200. */
     private fun health(): Response =
-        if (shell.draining) {
-            errorResponse(ResultCode.DRAINING, "the process is stopping")
-        } else {
-            jsonResponse(Status.OK, """{"status":"up"}""")
+        when {
+            shell.draining -> errorResponse(ResultCode.DRAINING, "the process is stopping")
+            !shell.logic.isSettled ->
+                errorResponse(ResultCode.NO_BACKEND_SERVER, "the process is starting")
+            else -> jsonResponse(Status.OK, """{"status":"up"}""")
         }
 
     private fun describe(request: Request): Response =
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonLogic.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonLogic.kt
@@ -24,7 +24,19 @@
     /** Number of requests in execution; a graceful stop waits until it is 0. */
     fun openWork(): Int
 
-    /** Called once when a graceful stop begins. */
+    /**
+     * False while the process starts and knows too little to serve callers. `/health` tells it, so
+     * that a load balancer waits.
+     */
+    val isSettled: Boolean get() = true
+
+    /**
+     * Time from the beginning of a graceful stop to [onDrain]. Requests are served meanwhile, as a
+     * load balancer sends them until its next check of `/health`.
+     */
+    val drainNoticeMs: Long get() = 0
+
+    /** Called once in a graceful stop; the process takes no new work from then on. */
     fun onDrain() = Unit
 }
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/Drain.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/Drain.kt
@@ -1,6 +1,9 @@
 package org.jacinthlink.runtime.daemon
 
-/** Graceful stop: tells peers, waits until no work is left or the deadline passed, then closes. */
+/**
+ * Graceful stop: gives notice, tells peers, waits until no work is left or the deadline passed,
+ * then closes.
+ */
 internal class Drain(
     private val shell: HttpDaemonShell,
     private val logic: DaemonLogic,
@@ -9,6 +12,7 @@
     fun run() {
         val deadlineMs = shell.clock.nowMs() + shell.settings.drainTimeoutMs
         try {
+            Thread.sleep(minOf(logic.drainNoticeMs, shell.settings.drainTimeoutMs))
             logic.onDrain()
             announcer.announce()
             // Calls that were sent before the peers knew are still answered.
