Share the steps of a stage by class and workspace

Cause: a stage ran ready streams in the order of their last step, up to the bound of the step, whatever their class or workspace. The prompt of a small caller waited on each stage for steps filled by a flood.

StepScheduler (module decision) selects the positions of a step by virtual time of class and workspace. The hop message carries both. FloodSpec prints the gap between tokens, the median and the elapsed time as well.

Ruled out: steps that decode first and prefill with what is left. With a small step the prompts of a workspace starve behind its own decoding streams, so its streams run in the order of their waiting.

The order alone does not reach the bound: a step that has begun is not interrupted, and its length is not bounded. Quotations are refused because the expected wait uses the time to the first token of all classes together.

--- a/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
@@ -15,6 +15,8 @@
  * @property headAddress Where sampled tokens go.
  * @property replay True when the items rebuild a replaced stage.
  * @property isolated True when the stream must run without others in a step of the engine.
+ * @property workClass Class of the stream, by which stages share their steps.
+ * @property workspace Workspace of the stream, by which stages share their steps.
  */
 @Serializable
 data class HopItem(
@@ -25,7 +27,9 @@
     val route: List<RouteStage>,
     val headAddress: String,
     val replay: Boolean = false,
-    val isolated: Boolean = false
+    val isolated: Boolean = false,
+    val workClass: String = "",
+    val workspace: WorkspaceId = WorkspaceId("")
 )
 
 /** One stage of a route. */
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/stage/StepScheduler.kt
@@ -0,0 +1,116 @@
+package org.jacinthlink.decision.stage
+
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.WorkspaceId
+
+/**
+ * Selects what runs in each step of a stage, fairly between classes and workspaces.
+ *
+ * Each workspace of a class has a virtual time that grows by its positions over its weight. The
+ * weight is the worth of the class, divided evenly among its workspaces with waiting streams. The
+ * smallest virtual time goes next, so that work below its share never waits behind work above it.
+ * A virtual time stays at most [CREDIT_POSITIONS] behind the others: idle time is not saved up for
+ * a long burst.
+ *
+ * Not safe for use by several threads.
+ */
+class StepScheduler internal constructor(private var classes: Map<String, WorkClass>) {
+    private val virtualTimes = HashMap<Account, Double>()
+    private var virtualTime = 0.0
+    private var pruneAbove = MIN_ACCOUNTS
+
+    /** Puts the configured [classes] in force. */
+    fun update(classes: Map<String, WorkClass>) {
+        this.classes = classes
+    }
+
+    /**
+     * Positions of the next step, those that decode first.
+     *
+     * @param waiting Streams with inputs, the one that waits longest first.
+     */
+    fun select(waiting: List<StepCandidate>, bounds: StepBounds): List<StepShare> {
+        if (waiting.isEmpty()) return emptyList()
+        val queues = waiting.groupBy { Account(it.workClass, it.workspace) }
+        val weights = weights(queues.keys)
+        raise(weights)
+        val step = StepInProgress(bounds)
+        val left = queues.mapValues { ArrayDeque(it.value) }.toMutableMap()
+        while (left.isNotEmpty() && step.hasRoom) {
+            val account = left.keys.minBy { virtualTimes.getValue(it) }
+            val queue = left.getValue(account)
+            val taken = step.add(queue.removeFirst())
+            virtualTimes.merge(account, taken / weights.getValue(account), Double::plus)
+            if (queue.isEmpty()) left -= account
+        }
+        prune()
+        return step.shares
+    }
+
+    private fun weights(accounts: Set<Account>): Map<Account, Double> {
+        val workspaces = accounts.groupingBy { it.workClass }.eachCount()
+        return accounts.associateWith {
+            worthOf(it.workClass) / workspaces.getValue(it.workClass)
+        }
+    }
+
+    private fun raise(weights: Map<Account, Double>) {
+        for ((account, weight) in weights) {
+            val floor = virtualTime - CREDIT_POSITIONS / weight
+            virtualTimes[account] = maxOf(virtualTimes[account] ?: virtualTime, floor)
+        }
+        virtualTime = maxOf(virtualTime, weights.keys.minOf { virtualTimes.getValue(it) })
+    }
+
+    // An account this far behind would be raised at its return anyway.
+    private fun prune() {
+        if (virtualTimes.size <= pruneAbove) return
+        virtualTimes.entries.removeIf { (account, time) ->
+            time <= virtualTime - CREDIT_POSITIONS / worthOf(account.workClass)
+        }
+        pruneAbove = maxOf(MIN_ACCOUNTS, 2 * virtualTimes.size)
+    }
+
+    private fun worthOf(name: String): Double =
+        classes[name]?.worth?.coerceAtLeast(1)?.toDouble() ?: 1.0
+
+    private data class Account(val workClass: String, val workspace: WorkspaceId)
+
+    private class StepInProgress(private val bounds: StepBounds) {
+        private val decoding = ArrayList<StepShare>()
+        private val prefilling = ArrayList<StepShare>()
+        private var prefillPositions = 0
+
+        val shares: List<StepShare> get() = decoding + prefilling
+        val hasRoom: Boolean get() = room > 0
+        private val room: Int get() = bounds.positions - decoding.size - prefillPositions
+
+        /** Returns the number of positions that run. */
+        fun add(candidate: StepCandidate): Int =
+            if (candidate.isDecoding) decode(candidate) else prefill(candidate)
+
+        private fun decode(candidate: StepCandidate): Int {
+            if (decoding.size >= bounds.decodingStreams) return 0
+            decoding += StepShare(candidate.stream, 1)
+            return 1
+        }
+
+        private fun prefill(candidate: StepCandidate): Int {
+            val limit = minOf(room, bounds.prefillPositions - prefillPositions)
+            val taken = minOf(limit, candidate.positions)
+            if (taken <= 0) return 0
+            prefilling += StepShare(candidate.stream, taken)
+            prefillPositions += taken
+            return taken
+        }
+    }
+
+    private companion object {
+        const val CREDIT_POSITIONS = 256.0
+        const val MIN_ACCOUNTS = 1_024
+    }
+}
+
+/** Creates a scheduler without history. */
+fun stepScheduler(classes: Map<String, WorkClass> = emptyMap()): StepScheduler =
+    StepScheduler(classes)
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/FloodSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/FloodSpec.kt
@@ -52,6 +52,7 @@
             )
 
         fun run(vararg streams: LoadStream): LoadReport {
+            val startNs = System.nanoTime()
             val report =
                 runLoad(
                     LoadPlan(
@@ -61,12 +62,16 @@
                         callTimeoutMs = 70_000
                     )
                 )
-            report.classes.forEach { (name, figures) ->
+            val elapsedMs = (System.nanoTime() - startNs) / 1_000_000
+            (report.classes + report.workspaces).forEach { (name, figures) ->
                 println(
                     "flood,$name,sent=${figures.sent},answered=${figures.answered}," +
                         "refused=${figures.refusedNotRun},failed=${figures.failed}," +
                         "within_target=${figures.withinTargetShare}," +
-                        "ttft_p95_ms=${figures.timeToFirstTokenMs.p95}"
+                        "ttft_p50_ms=${figures.timeToFirstTokenMs.p50}," +
+                        "ttft_p95_ms=${figures.timeToFirstTokenMs.p95}," +
+                        "gap_p50_ms=${figures.tokenGapMs.p50}," +
+                        "gap_p95_ms=${figures.tokenGapMs.p95},elapsed_ms=$elapsedMs"
                 )
             }
             return report
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -97,7 +97,9 @@
             payloads = payloads,
             route = route.map { it.toRouteStage() },
             headAddress = headAddress,
-            isolated = open.isolated
+            isolated = open.isolated,
+            workClass = open.workClass,
+            workspace = open.workspace
         )
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -63,6 +63,8 @@
     val self = RouteStage(parts.instance, parts.address, holding.firstLayer, holding.endLayer)
     val runner =
         StageRunner(self, engine, peers, executor, parts.clock, parts.events, parts.stageLimits)
+    runner.classesChanged(parts.configuration.current.classes)
+    parts.configuration.addListener { runner.classesChanged(it.classes) }
     val head =
         if (holding.isHead) stageHead(parts, engine, runner, peers, executor) else null
     return StageDaemon(parts, runner, engine, head)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -19,6 +19,7 @@
 import org.jacinthlink.api.StageProgress
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.api.TokenBatch
+import org.jacinthlink.api.WorkClass
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
 
@@ -48,6 +49,8 @@
 
     val streamCount: Int get() = lock.withLock { state.streamCount }
 
+    fun classesChanged(classes: Map<String, WorkClass>) = lock.withLock { state.update(classes) }
+
     /** Takes a message from the stage before, or from the head on this process. */
     fun receive(batch: HopBatch): HopAck {
         if (!engine.ready) {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -12,6 +12,7 @@
 import org.jacinthlink.api.SampledToken
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.api.StreamProgress
+import org.jacinthlink.api.WorkClass
 import org.jacinthlink.decision.stage.CursorDecision
 import org.jacinthlink.decision.stage.StageCursor
 import org.jacinthlink.decision.stage.decideItem
@@ -64,6 +65,8 @@
         return acknowledge(item, status, stream.received)
     }
 
+    fun update(classes: Map<String, WorkClass>) = step.update(classes)
+
     /** Inputs of the next step; empty if no stream has any. */
     fun nextStep(): List<EngineInput> {
         val selected = step.select(streams.values.filter { it.canStep }, streams.size)
@@ -149,7 +152,9 @@
             route = stream.route.drop(1),
             headAddress = stream.headAddress,
             replay = isReplay,
-            isolated = stream.isolated
+            isolated = stream.isolated,
+            workClass = stream.workClass,
+            workspace = stream.workspace
         )
     }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
@@ -1,9 +1,17 @@
 package org.jacinthlink.sidecar.stage
 
 import org.jacinthlink.api.EngineInput
+import org.jacinthlink.api.WorkClass
+import org.jacinthlink.decision.stage.StepBounds
+import org.jacinthlink.decision.stage.StepCandidate
+import org.jacinthlink.decision.stage.stepScheduler
 
 /** Selects the inputs of the next step from the streams that have any. */
 internal class StageStep(private val limits: StageLimits) {
+    private val scheduler = stepScheduler()
+
+    fun update(classes: Map<String, WorkClass>) = scheduler.update(classes)
+
     /**
      * Inputs for one step. An isolated stream runs alone.
      *
@@ -13,22 +21,21 @@
     fun select(waiting: Collection<StageStream>, streamCount: Int): List<EngineInput> {
         val first = waiting.firstOrNull() ?: return emptyList()
         if (first.isolated) return listOf(input(first, limits.maxStepPositions))
-        val (decoding, prefilling) = waiting.filterNot { it.isolated }.partition { isDecoding(it) }
-        val selected =
-            decoding.take(decodeLimit(first, streamCount)).map { input(it, 1) }.toMutableList()
+        val shared = waiting.filterNot { it.isolated }.associateBy { it.key }
+        return scheduler
+            .select(shared.values.map(::candidate), bounds(shared.values, streamCount))
+            .map { input(shared.getValue(it.stream), it.positions) }
+    }
+
+    private fun bounds(waiting: Collection<StageStream>, streamCount: Int): StepBounds {
+        val isPrefillOnly = waiting.size == streamCount && waiting.none { it.pending.size == 1 }
         // Streams that decode may be on another stage at the moment; they must find this one free
         // soon when they come back.
-        val isPrefillOnly = prefilling.size == streamCount
-        val prefillLimit =
-            if (isPrefillOnly) limits.maxStepPositions else limits.prefillChunkPositions
-        var budget = minOf(prefillLimit, limits.maxStepPositions - selected.size)
-        for (stream in prefilling) {
-            if (budget <= 0) break
-            val taken = input(stream, budget)
-            selected += taken
-            budget -= taken.payloads.size
-        }
-        return selected
+        return StepBounds(
+            limits.maxStepPositions,
+            if (isPrefillOnly) limits.maxStepPositions else limits.prefillChunkPositions,
+            decodeLimit(waiting.first(), streamCount)
+        )
     }
 
     // Each stream is on one stage at a time. With all of them in one step, the other stages would
@@ -38,7 +45,8 @@
 
     private fun ceilDiv(dividend: Int, divisor: Int) = (dividend + divisor - 1) / divisor
 
-    private fun isDecoding(stream: StageStream) = stream.pending.size == 1
+    private fun candidate(stream: StageStream) =
+        StepCandidate(stream.key, stream.workClass, stream.workspace, stream.pending.size)
 
     private fun input(stream: StageStream, maxPositions: Int): EngineInput {
         stream.stepping = minOf(maxPositions, stream.pending.size)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
@@ -4,12 +4,15 @@
 import org.jacinthlink.api.RouteStage
 import org.jacinthlink.api.SampledToken
 import org.jacinthlink.api.StreamKey
+import org.jacinthlink.api.WorkspaceId
 
 /** State of one stream on one stage. Guarded by its [StageState]. */
 internal class StageStream(item: HopItem) {
     val key: StreamKey = item.stream
     val headAddress: String = item.headAddress
     val isolated: Boolean = item.isolated
+    val workClass: String = item.workClass
+    val workspace: WorkspaceId = item.workspace
     var epoch = item.epoch
     var route = item.route
     val outputs = OutputLog()
