Estimate the time to the first token by class

Cause: admission added one time to the first token, smoothed over all classes, to the expected wait. In a flood of summaries it was that of summaries, and quotations were refused as DEADLINE_UNREACHABLE although none of them had to wait that long. Once an estimate exceeded the target of a class that ran alone, nothing could lower it: refused requests give no samples.

The time is kept by class and halves in each second without a sample.

The decay admits a request into a class that is truly too slow about once a second, which is the price of the recovery. Half-lives other than 1 s were not measured.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -40,10 +40,12 @@
 
     /** Puts [stream] into the queue, if admission allows it. */
     fun offer(stream: HeadStream, nowMs: Long): AdmissionDecision {
+        val request = stream.request
+        val firstTokenMs = rate.firstTokenMs(request.workClass, nowMs)
         val decision =
-            admission.decide(queue, stream.request, rate.tokensPerSecond, rate.firstTokenMs, nowMs)
+            admission.decide(queue, request, rate.tokensPerSecond, firstTokenMs, nowMs)
         if (decision == AdmissionDecision.Admitted) {
-            queue.offer(stream.request)
+            queue.offer(request)
             queued[stream.key] = stream
         }
         return decision
@@ -72,7 +74,7 @@
         stream.addToken(text, nowMs)
         queue.charge(stream.request, 1)
         if (stream.tokens.size == stream.open.emittedTokens.size + 1) {
-            rate.onFirstToken(nowMs - stream.startedAtMs)
+            rate.onFirstToken(stream.request.workClass, nowMs - stream.startedAtMs, nowMs)
         } else {
             bound.onTokenGap(stream.gapMs)
         }
@@ -93,7 +95,7 @@
 
     fun load(nowMs: Long): LoadReport {
         val waitMs = queue.waitingTokens * 1_000.0 / rate.tokensPerSecond
-        return LoadReport(queued.size, running.size, waitMs + rate.firstTokenMs, nowMs)
+        return LoadReport(queued.size, running.size, waitMs + rate.firstTokenMs(nowMs), nowMs)
     }
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/ServiceRate.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/ServiceRate.kt
@@ -12,16 +12,26 @@
     var tokensPerSecond = nominalTokensPerSecond
         private set
 
-    /** Smoothed time from the start of a stream to its first token. */
-    var firstTokenMs = 0.0
-        private set
+    private val firstToken = FirstTokenTime()
+    private val firstTokenByClass = HashMap<String, FirstTokenTime>()
+
+    /** Time from the start of a stream to its first token, over all classes. */
+    fun firstTokenMs(nowMs: Long): Double = firstToken.at(nowMs)
+
+    /**
+     * Time from the start of a stream of [workClass] to its first token. Steps are shared by class,
+     * so that the classes of a flood take far longer than the others.
+     */
+    fun firstTokenMs(workClass: String, nowMs: Long): Double =
+        firstTokenByClass[workClass]?.at(nowMs) ?: 0.0
 
     fun onStarted(costTokens: Int) {
         windowTokens += costTokens
     }
 
-    fun onFirstToken(elapsedMs: Long) {
-        firstTokenMs += WEIGHT * (elapsedMs - firstTokenMs)
+    fun onFirstToken(workClass: String, elapsedMs: Long, nowMs: Long) {
+        firstToken.record(elapsedMs, nowMs)
+        firstTokenByClass.getOrPut(workClass) { FirstTokenTime() }.record(elapsedMs, nowMs)
     }
 
     /** Ends the present window if it is long enough. */
