Add two baseline scheduling policies for experiments

Cause: the goals of design.md compare the system with baselines, and the repository had none to run against.

A sealed SchedulingPolicy chooses at three places: the choice of a head at the entry, the order of the head's queue, and early refusal. The baselines map all requests to one class and workspace, which makes the fair queue first-come; a second queue type was ruled out, since removal, expiry and load reports would have been written twice. Resumed requests go first under all policies, so that recovery is the same.

SchedulingPolicySpec, HeadChoiceSpec, AdmissionSpec and SettingsPageSpec pass: mvn -B -ntp -q -o test -pl decision,cli -am -Dtest='SchedulingPolicySpec,HeadChoiceSpec,AdmissionSpec,SettingsPageSpec' -Dsurefire.failIfNoSpecifiedTests=false

--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
@@ -135,7 +135,8 @@
             port = port,
             advertisedAddress = proxied,
             availabilityZone = zone,
-            peerToken = PEER_TOKEN
+            peerToken = PEER_TOKEN,
+            schedulingPolicy = plan.policy
         )
     }
 
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.cli.site
 
+import org.jacinthlink.api.SchedulingPolicy
 import org.jacinthlink.api.WorkClass
 import org.jacinthlink.standins.EngineSpeed
 
@@ -17,7 +18,8 @@
     val classes: List<WorkClass>,
     val instanceListLagMs: Long = 0,
     val crashWord: String? = null,
-    val isProxied: Boolean = false
+    val isProxied: Boolean = false,
+    val policy: SchedulingPolicy = SchedulingPolicy.Targets
 )
 
 /** A chain of stages that hold all layers of [model], one backend server for each stage. */
--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/Admission.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/Admission.kt
@@ -1,9 +1,19 @@
 package org.jacinthlink.decision.routing
 
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.SchedulingPolicy
 
 /** Decides whether a request may wait, so that no caller waits for an answer in vain. */
-class Admission internal constructor(private val limits: AdmissionLimits) {
+class Admission internal constructor(
+    private val limits: AdmissionLimits,
+    policy: SchedulingPolicy
+) {
+    private val refusesEarly =
+        when (policy) {
+            SchedulingPolicy.Targets -> true
+            SchedulingPolicy.RoundRobin, SchedulingPolicy.LeastInFlight -> false
+        }
+
     /**
      * Decides on [request].
      *
@@ -17,7 +27,7 @@
         serviceMs: Double,
         nowMs: Long
     ): AdmissionDecision {
-        if (request.resumed) return AdmissionDecision.Admitted
+        if (request.resumed || !refusesEarly) return AdmissionDecision.Admitted
         val occupancy = queue.occupancy(request.workClass, request.workspace)
         if (!hasRoom(occupancy, request)) {
             return AdmissionDecision.Refused(
@@ -71,5 +81,8 @@
     }
 }
 
-/** Creates the admission rule for [limits]. */
-fun admission(limits: AdmissionLimits = AdmissionLimits()): Admission = Admission(limits)
+/** Creates the admission rule for [limits] under [policy]. */
+fun admission(
+    limits: AdmissionLimits = AdmissionLimits(),
+    policy: SchedulingPolicy = SchedulingPolicy.Targets
+): Admission = Admission(limits, policy)
--- a/decision/src/main/kotlin/org/jacinthlink/decision/routing/HeadChoice.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/routing/HeadChoice.kt
@@ -10,9 +10,8 @@
  * The requests that this entry sent since the report count on top of it, so that an entry does not
  * send all its requests to the head that last reported an empty queue.
  */
-class HeadChoice internal constructor(private val ownZone: String) {
-    /** Picks one of [candidates] not in [excluded]; null if there is none. */
-    fun choose(
+class HeadChoice internal constructor(private val ownZone: String) : HeadSelector {
+    override fun choose(
         candidates: Collection<HeadCandidate>,
         excluded: Set<InstanceId>,
         nowMs: Long,
--- a/entry/src/main/kotlin/org/jacinthlink/entry/heads/HeadDirectory.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/heads/HeadDirectory.kt
@@ -8,12 +8,13 @@
 import org.jacinthlink.decision.routing.FlowPlan
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.decision.routing.HeadCandidate
-import org.jacinthlink.decision.routing.headChoice
+import org.jacinthlink.decision.routing.headSelector
 import org.jacinthlink.entry.EntryContext
 
 /** Chooses heads of models by the membership and their loads. */
 internal class HeadDirectory(private val context: EntryContext) {
-    private val choice = headChoice(context.availabilityZone)
+    private val selector =
+        headSelector(context.settings.daemon.schedulingPolicy, context.availabilityZone)
     private val prober = LoadProber(context, this)
     private val knownModels = ConcurrentHashMap.newKeySet<String>()
     private val changed = AtomicBoolean(true)
@@ -43,8 +44,8 @@
         val candidates = heads.map(::candidate)
         val avoided = excluded + failures.avoided(nowMs)
         val chosen =
-            choice.choose(candidates, avoided, nowMs, Random.Default)
-                ?: choice.choose(candidates, excluded, nowMs, Random.Default)
+            selector.choose(candidates, avoided, nowMs, Random.Default)
+                ?: selector.choose(candidates, excluded, nowMs, Random.Default)
                 ?: return null
         prober.probeOldest(heads.filter { it.instance !in excluded }, nowMs)
         return heads.first { it.instance == chosen.instance }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSettings.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonSettings.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.runtime.daemon
 
 import kotlinx.serialization.Serializable
+import org.jacinthlink.api.SchedulingPolicy
 import org.jacinthlink.runtime.settings.Validation
 
 /**
@@ -14,6 +15,7 @@
  * @property peerToken Secret that all processes of the system share.
  * @property seeds Addresses of peers that are asked while the platform is down at the start.
  * @property drainTimeoutMs Time that present work has to finish in a graceful stop.
+ * @property schedulingPolicy For experiments only; the same in all processes of a system.
  */
 @Serializable
 data class DaemonSettings(
@@ -25,7 +27,8 @@
     val peerToken: String,
     val seeds: List<String> = emptyList(),
     val drainTimeoutMs: Long = 30_000,
-    val eventCapacity: Int = 2_000
+    val eventCapacity: Int = 2_000,
+    val schedulingPolicy: SchedulingPolicy = SchedulingPolicy.Targets
 ) {
     override fun toString() = "DaemonSettings(name=$name, host=$host, port=$port)"
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
@@ -62,7 +62,8 @@
                 clock = context.clock,
                 events = context.eventLog,
                 stageLimits = settings.stage,
-                headLimits = settings.head
+                headLimits = settings.head,
+                policy = settings.daemon.schedulingPolicy
             )
         )
     }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -16,6 +16,7 @@
 import org.jacinthlink.decision.routing.AdmissionDecision
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.decision.routing.QueuedRequest
+import org.jacinthlink.decision.routing.queuedUnder
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
 import org.jacinthlink.runtime.http.PushSink
@@ -298,15 +299,17 @@
     private fun queuedRequest(open: StreamOpen, nowMs: Long): QueuedRequest {
         val isResumed = open.emittedTokens.isNotEmpty()
         val waitMs = if (isResumed) maxOf(open.remainingMs, RESUMED_WAIT_MS) else open.remainingMs
-        return QueuedRequest(
-            id = open.stream,
-            workspace = open.workspace,
-            workClass = open.workClass,
-            costTokens = open.promptTokens.size + open.emittedTokens.size,
-            enqueuedAtMs = nowMs,
-            deadlineAtMs = nowMs + waitMs,
-            resumed = isResumed
-        )
+        val request =
+            QueuedRequest(
+                id = open.stream,
+                workspace = open.workspace,
+                workClass = open.workClass,
+                costTokens = open.promptTokens.size + open.emittedTokens.size,
+                enqueuedAtMs = nowMs,
+                deadlineAtMs = nowMs + waitMs,
+                resumed = isResumed
+            )
+        return queuedUnder(registry.policy, request)
     }
 
     private fun refused(code: ResultCode, message: String, retryAfterMs: Long = 0) =
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -3,6 +3,7 @@
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.RequestId
+import org.jacinthlink.api.SchedulingPolicy
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.api.WorkClass
 import org.jacinthlink.decision.routing.Admission
@@ -15,7 +16,8 @@
     private val queue: FairQueue,
     private val admission: Admission,
     private val rate: ServiceRate,
-    val bound: RunningBound
+    val bound: RunningBound,
+    val policy: SchedulingPolicy = SchedulingPolicy.Targets
 ) {
     private val queued = LinkedHashMap<StreamKey, HeadStream>()
     private val running = LinkedHashMap<StreamKey, HeadStream>()
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -121,10 +121,11 @@
     val tokenGapMs = classes.values.minOfOrNull { it.tokenGapMs } ?: DEFAULT_TOKEN_GAP_MS
     return HeadRegistry(
         fairQueue(classes),
-        admission(),
+        admission(policy = parts.policy),
         // Until it is measured: a prompt takes about half of the tokens of a request.
         ServiceRate(parts.holding.tokensPerSecond / 2),
-        RunningBound(parts.headLimits.maxRunningStreams, tokenGapMs.toDouble())
+        RunningBound(parts.headLimits.maxRunningStreams, tokenGapMs.toDouble()),
+        parts.policy
     )
 }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageParts.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageParts.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ModelEngine
+import org.jacinthlink.api.SchedulingPolicy
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.configuration.ConfigurationView
 import org.jacinthlink.runtime.events.EventLog
@@ -30,5 +31,6 @@
     val clock: Clock,
     val events: EventLog,
     val stageLimits: StageLimits = StageLimits(),
-    val headLimits: HeadLimits = HeadLimits()
+    val headLimits: HeadLimits = HeadLimits(),
+    val policy: SchedulingPolicy = SchedulingPolicy.Targets
 )
