--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadFigures.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadFigures.kt
@@ -14,7 +14,8 @@
         finished.groupBy { it.request.stream.workClass }.mapValues { series(plan, it.value) }
     )
 
-private fun figures(plan: LoadPlan, finished: List<FinishedRequest>): WorkFigures {
+/** Figures of [finished]; there must be one at least. */
+internal fun figures(plan: LoadPlan, finished: List<FinishedRequest>): WorkFigures {
     val answered = finished.filter { it.isAnswered }
     val withinTarget = answered.count { isGood(plan, it) }
     val outcomes = finished.groupingBy { it.outcome }.eachCount()
@@ -35,7 +36,8 @@
     )
 }
 
-private fun isGood(plan: LoadPlan, finished: FinishedRequest): Boolean {
+/** True for a whole, right answer within the target of its class. */
+internal fun isGood(plan: LoadPlan, finished: FinishedRequest): Boolean {
     val targetMs = plan.targetsMs.getValue(finished.request.stream.workClass)
     return finished.isAnswered &&
         !finished.isWrong &&
@@ -57,7 +59,7 @@
     }
 }
 
-private fun percentiles(timesUs: List<Long>): Percentiles {
+internal fun percentiles(timesUs: List<Long>): Percentiles {
     val histogram = histogramUs()
     timesUs.forEach { histogram.recordValue(it.coerceAtLeast(0)) }
     return percentilesMs(histogram)
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadPlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadPlan.kt
@@ -10,6 +10,8 @@
  *   whole answer of a plain call.
  * @property callTimeoutMs Time from the scheduled send after which a request is given up.
  * @property seed Seed of random arrivals.
+ * @property retriesRefused True to send a request whose connection was refused to the next entry,
+ *   as a load balancer does.
  */
 @Serializable
 data class LoadPlan(
@@ -18,5 +20,6 @@
     val streams: List<LoadStream>,
     val arrivals: Arrivals = Arrivals.EVEN,
     val seed: Long = 1,
-    val callTimeoutMs: Long = 30_000
+    val callTimeoutMs: Long = 30_000,
+    val retriesRefused: Boolean = false
 )
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
@@ -14,9 +14,15 @@
  * ones were answered. Returns when each request was answered or given up.
  */
 fun runLoad(plan: LoadPlan): LoadReport {
+    val observed = observeLoad(plan)
+    return loadReport(plan, observed.finished, observed.maxSendDelayUs)
+}
+
+/** Like [runLoad], but returns each request. [onStart] is called when the run begins. */
+internal fun observeLoad(plan: LoadPlan, onStart: () -> Unit = {}): LoadObservation {
     val client = peerClient()
     try {
-        return LoadRun(plan, client).run()
+        return LoadRun(plan, client).run(onStart)
     } finally {
         client.close()
     }
@@ -33,25 +39,31 @@
         }
     private val startNs = System.nanoTime()
 
-    fun run(): LoadReport {
+    fun run(onStart: () -> Unit): LoadObservation {
         var maxDelayUs = 0L
+        onStart()
         requests.forEachIndexed { index, request ->
             awaitTime(request.sendAtUs)
             maxDelayUs = maxOf(maxDelayUs, nowUs() - request.sendAtUs)
-            send(request, plan.entries[index % plan.entries.size])
+            send(request, index, if (plan.retriesRefused) plan.entries.size - 1 else 0)
         }
         unfinished.await()
         timeouts.shutdownNow()
-        return loadReport(plan, finished.toList(), maxDelayUs)
+        return LoadObservation(finished.toList(), maxDelayUs)
     }
 
-    private fun send(request: ScheduledRequest, entryUrl: String) {
+    private fun send(request: ScheduledRequest, entry: Int, retries: Int) {
+        val entryUrl = plan.entries[entry % plan.entries.size]
         val listener =
             RequestListener(request, ::nowUs) {
-                finished += it
-                unfinished.countDown()
+                if (it.outcome == RequestOutcome.NOT_SENT && retries > 0) {
+                    send(request, entry + 1, retries - 1)
+                } else {
+                    finished += it
+                    unfinished.countDown()
+                }
             }
-        val timeoutMs = plan.callTimeoutMs
+        val timeoutMs = request.stream.callTimeoutMs ?: plan.callTimeoutMs
         val call =
             client.stream(peerCall(request, entryUrl, runId), timeoutMs, listener)
         val leftUs = request.sendAtUs + timeoutMs * MICROS_PER_MS - nowUs()
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadStream.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadStream.kt
@@ -14,6 +14,7 @@
  * @property stopSecond Second of the run at which the stream ends.
  * @property verifyLayerCount Number of layers of [model] on engine stand-ins; if set, each answer
  *   is compared with the reference answer.
+ * @property callTimeoutMs Replaces the one of the plan.
  */
 @Serializable
 data class LoadStream(
@@ -29,5 +30,6 @@
     val method: String = "POST",
     val promptTokens: Int = 16,
     val maxTokens: Int = 16,
-    val verifyLayerCount: Int? = null
+    val verifyLayerCount: Int? = null,
+    val callTimeoutMs: Long? = null
 )
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/LocalSite.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.runtime.RunningProcess
 import org.jacinthlink.runtime.daemon.DaemonSettings
 import org.jacinthlink.sidecar.SidecarSettings
+import org.jacinthlink.sidecar.stage.HeadLimits
 import org.jacinthlink.standins.EngineSettings
 import org.jacinthlink.standins.InstanceListSettings
 import org.jacinthlink.standins.ProxyListenerSettings
@@ -45,7 +46,8 @@
     fun start() {
         plan.pipelines.forEachIndexed { index, pipeline ->
             pipeline.stages.forEachIndexed { position, stage ->
-                addStage("stage-$index-$position", pipeline.model, stage)
+                val name = "stage-$index-$position"
+                addStage(name, pipeline.model, stage, pipeline.maxRunningStreams)
             }
         }
         plan.services.forEach { service ->
@@ -55,7 +57,12 @@
     }
 
     /** Adds a runner that holds the layers of [stagePlan]. */
-    fun addStage(name: String, model: String, stagePlan: StagePlan): SiteStage {
+    fun addStage(
+        name: String,
+        model: String,
+        stagePlan: StagePlan,
+        maxRunningStreams: Int? = null
+    ): SiteStage {
         val layerCount = layerCountOf(model)
         val order = LoadOrder(model, stagePlan.firstLayer, stagePlan.endLayer, layerCount, 0)
         val engine =
@@ -74,7 +81,9 @@
                 layerCount,
                 stagePlan.tokensPerSecond
             )
-        val settings = sidecarSettings(daemon(name, stagePlan.zone), holding, engine.address)
+        val settings =
+            sidecarSettings(daemon(name, stagePlan.zone), holding, engine.address)
+                .copy(head = HeadLimits(maxRunningStreams))
         val stage = SiteStage(name, holding, engine, settings, launcher.sidecar(settings))
         stages += stage
         list(name, Role.SIDECAR, settings.daemon)
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
@@ -22,8 +22,17 @@
     val policy: SchedulingPolicy = SchedulingPolicy.Targets
 )
 
-/** A chain of stages that hold all layers of [model], one backend server for each stage. */
-data class PipelinePlan(val model: String, val stages: List<StagePlan>)
+/**
+ * A chain of stages that hold all layers of [model], one backend server for each stage.
+ *
+ * @property maxRunningStreams Streams in execution at the head; follows from the speed of the
+ *   stages if absent.
+ */
+data class PipelinePlan(
+    val model: String,
+    val stages: List<StagePlan>,
+    val maxRunningStreams: Int? = null
+)
 
 /**
  * One stage.
