Move the search for a head out of the chat relay

Cause: ChatRelay held the stream of the answer, its attempts and the search for heads in one class of 330 lines. The search has state of its own (excluded heads, rounds, time without a head) that nothing else uses.

No change of behaviour; ChatSpec, CallSpec and StartEntrySpec pass.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -1,11 +1,9 @@
 package org.jacinthlink.entry.chat
 
-import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.StreamEvent
 import org.jacinthlink.decision.dispatch.AttemptFate
 import org.jacinthlink.decision.quarantine.RunMode
-import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.entry.EntryContext
 
 /**
@@ -21,18 +19,16 @@
     private val context: EntryContext = parts.context
     private val tokens = ArrayList<String>()
     private val ends = ArrayList<AttemptEnd>()
-    private val excluded = HashSet<InstanceId>()
+    private val search = HeadSearch(parts.heads, job.chat.model)
     private var attempt: ChatAttempt? = null
     private var attemptCount = 0
     private var wasAccepted = false
     private var isolated = false
-    private var waitsSinceMs: Long? = null
     private var firstTokenMs: Long? = null
     private var lastTokenAtMs = 0L
 
     // Time of the first acceptance or of the latest token.
     private var lastProgressAtMs = 0L
-    private var roundStartedAtMs = 0L
     private var done = false
 
     @Synchronized
@@ -47,7 +43,7 @@
         val current = attempt
         when {
             done -> Unit
-            current == null -> if (waitsSinceMs != null) dispatch()
+            current == null -> if (search.isWaiting) dispatch()
             nowMs - current.lastLineAtMs > SILENCE_MS -> {
                 parts.heads.suspect(current.head)
                 onBroken(current, AttemptEnd(AttemptFate.UNKNOWN, "silent for $SILENCE_MS ms"))
@@ -84,8 +80,7 @@
         attempt.call?.cancel()
         if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
-        if (excluded.isEmpty()) roundStartedAtMs = now()
-        excluded += attempt.head.instance
+        search.failed(attempt.head.instance, now())
         record(
             "dispatch_failed",
             "head" to attempt.head.instance.value,
@@ -193,8 +188,7 @@
         if (remainingMs <= 0) return fail(tooLate())
         val mode = parts.crashes.mode(job.chat.fingerprint, now())
         if (mode == RunMode.REFUSED) return fail(quarantined())
-        val head = chooseHead() ?: return waitForHead()
-        waitsSinceMs = null
+        val head = search.next(now()) ?: return waitForHead()
         isolated = mode == RunMode.ISOLATED
         val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
         attempt = next
@@ -213,20 +207,13 @@
         next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
     }
 
-    // Once each head has failed, those that failed first may serve again after a pause.
-    private fun chooseHead(): FlowStage? =
-        parts.heads.choose(job.chat.model, excluded, now())
-            ?: if (now() - roundStartedAtMs >= ROUND_MS) {
-                excluded.clear()
-                parts.heads.choose(job.chat.model, excluded, now())
-            } else {
-                null
-            }
-
     private fun waitForHead() {
-        val sinceMs = waitsSinceMs ?: now().also { waitsSinceMs = it }
         val isOver =
-            if (wasAccepted) !mayWaitForProgress() else now() - sinceMs >= MAX_HEAD_WAIT_MS
+            if (wasAccepted) {
+                !mayWaitForProgress()
+            } else {
+                search.waitedMs(now()) >= MAX_HEAD_WAIT_MS
+            }
         if (RetryRules.isFull(ends) || isOver) {
             fail(RetryRules.failure(ends, tokens.isNotEmpty()))
         }
@@ -310,10 +297,6 @@
                 ResultCode.INTERNAL_ERROR
             )
 
-        // Rounds over all heads are at least this far apart, so that heads that are not ready do
-        // not use up the attempts of a request within milliseconds.
-        const val ROUND_MS = 500L
-
         // A crashed backend server or a lost zone is back or replaced within this time.
         const val MAX_RESUME_WAIT_MS = 10_000L
 
