Read the instance list conditionally

Without a tag the whole list is read as before. The stand-in sends tags, or none with entityTags: false.

--- a/standins/src/main/kotlin/org/jacinthlink/standins/InstanceListServer.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/InstanceListServer.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.standins
 
+import java.security.MessageDigest
+import java.util.HexFormat
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ListSerializer
 import org.http4k.core.Method
@@ -48,7 +50,7 @@
 
     private fun handler() =
         routes(
-            "/v1/instances" bind Method.GET to { _: Request -> answer() },
+            "/v1/instances" bind Method.GET to ::answer,
             "/control/add" bind Method.POST to { request: Request ->
                 add(request.decode(ListedInstance.serializer()))
                 truth()
@@ -70,13 +72,25 @@
             }
         )
 
-    private fun answer(): Response =
+    private fun answer(request: Request): Response =
         when (outage) {
-            Outage.NONE -> listed(list.read(System.currentTimeMillis(), lagMs))
+            Outage.NONE -> conditional(request, list.read(System.currentTimeMillis(), lagMs))
             Outage.UNAVAILABLE -> Response(Status.SERVICE_UNAVAILABLE)
             Outage.SILENT -> silentResponse()
         }
 
+    private fun conditional(
+        request: Request,
+        instances: Map<InstanceId, ListedInstance>
+    ): Response {
+        val whole = listed(instances)
+        if (!settings.entityTags) return whole
+        val hash = MessageDigest.getInstance("SHA-256").digest(whole.bodyString().toByteArray())
+        val tag = "\"${HexFormat.of().formatHex(hash, 0, TAG_BYTES)}\""
+        val isKnown = request.header("if-none-match") == tag
+        return (if (isKnown) Response(Status.NOT_MODIFIED) else whole).header("etag", tag)
+    }
+
     private fun truth() = listed(list.latest)
 
     private fun listed(instances: Map<InstanceId, ListedInstance>) =
@@ -94,5 +108,6 @@
 
     private companion object {
         const val WORKERS = 8
+        const val TAG_BYTES = 16
     }
 }
--- a/standins/src/main/kotlin/org/jacinthlink/standins/InstanceListSettings.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/InstanceListSettings.kt
@@ -7,6 +7,7 @@
  * Settings of the instance-list stand-in.
  *
  * @property lagMs Age of the list that readers see.
+ * @property entityTags True to send an entity tag and to answer conditional reads.
  */
 @Serializable
 data class InstanceListSettings(
@@ -14,5 +15,6 @@
     val port: Int = 0,
     val instances: List<ListedInstance> = emptyList(),
     val lagMs: Long = 0,
-    val outage: Outage = Outage.NONE
+    val outage: Outage = Outage.NONE,
+    val entityTags: Boolean = true
 )
