Complete the path of plain calls with events, metrics, settings and probes

Cause: the time line of a booking ended at the entry, the sidecar of a plain service had no metrics of its own, its limits could not be set, and it said that it was ready while its service was down.

The sidecar now records claim_written and the outcome of each attempt with the request id, and counts outcomes. CallExecutorSettings and ClaimStoreSettings are the parts `calls` and `claims` of the settings, with range checks. Failed calls were ruled out as evidence of readiness: a service that refuses one call may serve others.

Before: a keyed call left no event on its sidecar. After, ServiceSidecarSpec: claim_written, call_executed, call_replayed for a booking and its repetition; "ready":false within 5 s after the service stopped.

The range checks of the new keys have no spec of their own; SettingsPageSpec holds the keys against the page.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimLimits.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimLimits.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.decision.claims
 
+import kotlinx.serialization.Serializable
+
 /**
  * Bounds of a [ClaimBucket].
  *
@@ -9,6 +11,7 @@
  *   only this long after its expiry.
  * @property maxResultBytes Largest result that is recorded.
  */
+@Serializable
 data class ClaimLimits(
     val maxBucketBytes: Int = 900_000,
     val retentionMs: Long = 3_600_000,
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
@@ -5,6 +5,9 @@
 import org.jacinthlink.runtime.daemon.DaemonSettings
 import org.jacinthlink.runtime.daemon.checkDaemon
 import org.jacinthlink.runtime.settings.Validation
+import org.jacinthlink.sidecar.calls.CallExecutorSettings
+import org.jacinthlink.sidecar.calls.ClaimStoreSettings
+import org.jacinthlink.sidecar.calls.ProbeSettings
 import org.jacinthlink.sidecar.stage.HeadLimits
 import org.jacinthlink.sidecar.stage.StageLimits
 
@@ -16,6 +19,9 @@
  * @property weightStoreUrl Base URL of the platform's weight store.
  * @property backendServerUrl Base URL of the engine or plain service beside this sidecar.
  * @property holding What the backend server serves.
+ * @property calls Execution of the calls of a plain service.
+ * @property claims Claims of the keys of a plain service.
+ * @property probe Probes of a plain service.
  */
 @Serializable
 data class SidecarSettings(
@@ -26,7 +32,10 @@
     val backendServerUrl: String,
     val holding: Holding,
     val stage: StageLimits = StageLimits(),
-    val head: HeadLimits = HeadLimits()
+    val head: HeadLimits = HeadLimits(),
+    val calls: CallExecutorSettings = CallExecutorSettings(),
+    val claims: ClaimStoreSettings = ClaimStoreSettings(),
+    val probe: ProbeSettings = ProbeSettings()
 )
 
 /** Checks [settings] for what their types cannot state. */
@@ -42,6 +51,9 @@
     }
     checkStageLimits(settings.stage)
     checkHeadLimits(settings.head)
+    checkCalls(settings.calls)
+    checkClaims(settings.claims)
+    checkProbe(settings.probe)
 }
 
 private fun Validation.checkStage(stage: Holding.Stage) {
@@ -67,3 +79,40 @@
     inRange("head.silenceMs", limits.silenceMs, 50L..60_000L)
     inRange("head.stepStallMs", limits.stepStallMs, 50L..60_000L)
 }
+
+private fun Validation.checkCalls(calls: CallExecutorSettings) {
+    inRange("calls.concurrency", calls.concurrency, 1..1_000)
+    inRange("calls.queueLimits.maxClassRequests", calls.queueLimits.maxClassRequests, 1..100_000)
+    inRange(
+        "calls.queueLimits.maxClassTokens",
+        calls.queueLimits.maxClassTokens,
+        1L..1_000_000_000L
+    )
+    inRange("calls.claimTimeoutMs", calls.claimTimeoutMs, 10L..60_000L)
+    inRange("calls.cancelTimeoutMs", calls.cancelTimeoutMs, 10L..60_000L)
+    inRange("calls.holderPollMs", calls.holderPollMs, 10L..10_000L)
+    inRange("calls.deadClaimGraceMs", calls.deadClaimGraceMs, 0L..60_000L)
+    inRange("calls.maxCalls", calls.maxCalls, 1..100_000)
+}
+
+private fun Validation.checkClaims(claims: ClaimStoreSettings) {
+    inRange("claims.bucketCount", claims.bucketCount, 1..65_536)
+    inRange("claims.writeIntervalMs", claims.writeIntervalMs, 0L..10_000L)
+    inRange("claims.readIntervalMs", claims.readIntervalMs, 0L..10_000L)
+    inRange("claims.maxBackoffMs", claims.maxBackoffMs, 1L..60_000L)
+    inRange("claims.recordTimeoutMs", claims.recordTimeoutMs, 1_000L..3_600_000L)
+    inRange("claims.maxWaiting", claims.maxWaiting, 1..100_000)
+    inRange("claims.limits.maxBucketBytes", claims.limits.maxBucketBytes, 10_000..1_000_000)
+    inRange("claims.limits.retentionMs", claims.limits.retentionMs, 60_000L..604_800_000L)
+    inRange("claims.limits.clockSkewMs", claims.limits.clockSkewMs, 0L..600_000L)
+    inRange("claims.limits.maxResultBytes", claims.limits.maxResultBytes, 0..1_000_000)
+}
+
+private fun Validation.checkProbe(probe: ProbeSettings) {
+    probe.path?.let {
+        check("probe.path", it.startsWith("/")) { "'$it' does not begin with '/'" }
+    }
+    inRange("probe.intervalMs", probe.intervalMs, 100L..60_000L)
+    inRange("probe.timeoutMs", probe.timeoutMs, 10L..60_000L)
+    inRange("probe.failures", probe.failures, 1..100)
+}
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallExecutor.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallExecutor.kt
@@ -5,9 +5,7 @@
 import org.jacinthlink.api.CallAnswer
 import org.jacinthlink.api.CallCancel
 import org.jacinthlink.api.CallRequest
-import org.jacinthlink.api.Holding
 import org.jacinthlink.api.LoadReport
-import org.jacinthlink.api.PlainService
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.decision.claims.ClaimDecision
 import org.jacinthlink.decision.claims.ClaimOperation
@@ -18,13 +16,15 @@
 
 /** Executes the calls of one plain service; a call with an idempotency key at most once. */
 class CallExecutor internal constructor(
-    private val holding: Holding.Service,
-    private val claims: ClaimStore,
+    parts: CallParts,
     private val runner: CallRunner,
     private val queue: CallQueue,
     private val settings: CallExecutorSettings,
     private val clocks: SidecarClocks
 ) {
+    private val holding = parts.holding
+    private val claims = parts.claims
+    private val monitor = parts.monitor
     private val isDraining = AtomicBoolean(false)
 
     /** Number of calls that wait, run or have a result to record; a graceful stop awaits them. */
@@ -41,7 +41,11 @@
         val nowMs = clocks.monotonic.nowMs()
         val remainingMs = minOf(request.remainingMs, maxRemainingMs())
         val dueAtWallMs = clocks.wall.nowMs() + remainingMs
-        val call = PendingCall(request, nowMs, nowMs + remainingMs, dueAtWallMs, onAnswer)
+        val call =
+            PendingCall(request, nowMs, nowMs + remainingMs, dueAtWallMs) { answer ->
+                monitor.answered(request, answer, clocks.monotonic.nowMs() - nowMs)
+                onAnswer(answer)
+            }
         val answer =
             refusal(request)
                 ?: call.claimKey?.let { runner.knownAnswer(it, request.bodyHash) }
@@ -59,11 +63,15 @@
             } else {
                 runner.knownAnswer(key, cancel.bodyHash)
             }
-        if (known != null) return onAnswer(known)
+        val answered = { answer: CallAnswer ->
+            monitor.cancelled(cancel.requestId, answer)
+            onAnswer(answer)
+        }
+        if (known != null) return answered(known)
         val nonce = "cancel-${UUID.randomUUID()}"
         val operation = ClaimOperation.Cancel(key, cancel.bodyHash, nonce)
         claims.submit(operation, settings.cancelTimeoutMs, fresh = true)
-            .thenAccept { onAnswer(cancelAnswer(it)) }
+            .thenAccept { answered(cancelAnswer(it)) }
     }
 
     /** Takes calls from the queue until the thread is interrupted. */
@@ -148,17 +156,16 @@
 
 /** Starts an executor that ends with [scope]. */
 fun callExecutor(
-    holding: Holding.Service,
-    service: PlainService,
-    claims: ClaimStore,
+    parts: CallParts,
     configuration: ConfigurationView,
     scope: Scope,
     settings: CallExecutorSettings = CallExecutorSettings(),
     clocks: SidecarClocks = sidecarClocks()
 ): CallExecutor {
     val queue = CallQueue(settings, configuration.current.classes)
-    val runner = CallRunner(service, claims, settings, clocks)
-    val executor = CallExecutor(holding, claims, runner, queue, settings, clocks)
+    val runner = CallRunner(parts.service, parts.claims, settings, clocks, parts.monitor)
+    val executor = CallExecutor(parts, runner, queue, settings, clocks)
+    parts.monitor.watch({ executor.openCalls }, { runner.unrecordedCount })
     configuration.addListener { queue.update(it.classes) }
     repeat(settings.concurrency) { scope.run("call-worker-$it", executor::work) }
     scope.repeat("call-deadlines", { TICK_MS }, executor::tick)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallExecutorSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallExecutorSettings.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.sidecar.calls
 
+import kotlinx.serialization.Serializable
 import org.jacinthlink.decision.routing.AdmissionLimits
 
 /**
@@ -13,6 +14,7 @@
  *   counts as failed.
  * @property maxCalls Bounds all calls that wait or run, repeated ones included.
  */
+@Serializable
 data class CallExecutorSettings(
     val concurrency: Int = 32,
     val queueLimits: AdmissionLimits = AdmissionLimits(maxClassRequests = 128),
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
@@ -19,7 +19,8 @@
     private val service: PlainService,
     private val claims: ClaimStore,
     private val settings: CallExecutorSettings,
-    private val clocks: SidecarClocks
+    private val clocks: SidecarClocks,
+    private val monitor: CallMonitor
 ) {
     /** Attempts of this process that execute now. */
     private val runningNonces = ConcurrentHashMap.newKeySet<String>()
@@ -51,11 +52,16 @@
         val operation =
             ClaimOperation.Begin(key, call.request.bodyHash, call.nonce, call.dueAtWallMs)
         val timeoutMs = minOf(remainingMs(call), settings.claimTimeoutMs)
+        val startMs = clocks.monotonic.nowMs()
         return when (val claimed = claims.submit(operation, timeoutMs, call.needsFreshRead).get()) {
             is ClaimResult.Unavailable -> claimUnavailable(call, key, claimed.message)
             is ClaimResult.Decided ->
                 when (val decision = claimed.decision) {
-                    ClaimDecision.Owned -> runClaimed(call, key)
+                    ClaimDecision.Owned -> {
+                        val elapsedMs = clocks.monotonic.nowMs() - startMs
+                        monitor.claimWritten(call.request, elapsedMs)
+                        runClaimed(call, key)
+                    }
                     is ClaimDecision.Held -> held(call, decision.claim)
                     else -> settled(decision)
                 }
@@ -137,7 +143,12 @@
             answerOf(send(call))
         }
 
-    private fun send(call: PendingCall): PlainResult =
+    private fun send(call: PendingCall): PlainResult {
+        val startMs = clocks.monotonic.nowMs()
+        return sendSafely(call).also { monitor.called(clocks.monotonic.nowMs() - startMs) }
+    }
+
+    private fun sendSafely(call: PendingCall): PlainResult =
         try {
             service.call(plainCall(call.request), remainingMs(call))
         } catch (e: Exception) {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.sidecar.calls
 
+import kotlinx.serialization.Serializable
 import org.jacinthlink.decision.claims.ClaimLimits
 
 /**
@@ -13,6 +14,7 @@
  * @property recordTimeoutMs Time for which results are offered to a service that is down.
  * @property maxWaiting Operations that may wait for the next write of a bucket.
  */
+@Serializable
 data class ClaimStoreSettings(
     val bucketCount: Int = 16,
     val writeIntervalMs: Long = 50,
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/ServiceSidecarSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/ServiceSidecarSpec.kt
@@ -1,8 +1,14 @@
 package org.jacinthlink.sidecar
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.builtins.ListSerializer
 import org.jacinthlink.api.CallAnswer
 import org.jacinthlink.api.CallRequest
 import org.jacinthlink.api.Headers
@@ -13,6 +19,7 @@
 import org.jacinthlink.api.WorkspaceId
 import org.jacinthlink.runtime.RunningProcess
 import org.jacinthlink.runtime.daemon.DaemonSettings
+import org.jacinthlink.runtime.events.Event
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.runtime.http.peerClient
@@ -55,9 +62,27 @@
             }
             call().replayed shouldBe false
             call().replayed shouldBe true
+
+            fun get(path: String): String {
+                val answer = client.call(PeerCall("GET", "http://${sidecar.address}$path"), 1_000)
+                return answer.shouldBeInstanceOf<PeerResult.Answered>().body
+            }
+            // Guards against a booking whose time line ends at the entry.
+            val events =
+                ProtocolJson.decodeFromString(
+                    ListSerializer(Event.serializer()),
+                    get("/v1/events?request_id=r")
+                )
+            events.map { it.name } shouldContainExactly
+                listOf("claim_written", "call_executed", "call_replayed")
+            get("/metrics") shouldContain "jacinthlink_calls_total{outcome=\"replayed\"} 1.0"
+            // Guards against calls that are sent to a sidecar whose service is down.
+            get("/v1/describe") shouldNotContain "\"ready\":false"
+            service.stop()
+            eventually(5.seconds) { get("/v1/describe") shouldContain "\"ready\":false" }
             sidecar.stop()
             client.close()
-            listOf(service, keyValue, list).forEach { it.stop() }
+            listOf(keyValue, list).forEach { it.stop() }
         }
     })
 
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/calls/ExecutorFixture.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/calls/ExecutorFixture.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.sidecar.calls
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -58,7 +59,8 @@
     val pausedMs = AtomicLong()
     val clocks =
         SidecarClocks(System::currentTimeMillis) { System.nanoTime() / 1_000_000 + pausedMs.get() }
-    private val scope = rootScope("test", eventLog("test", systemClock()))
+    val events = eventLog("test", systemClock())
+    private val scope = rootScope("test", events)
     val claims =
         claimStore("desk", keyValue, ClaimStoreSettings(writeIntervalMs = 5), clocks)
     private val service =
@@ -71,9 +73,12 @@
         }
     val executor =
         callExecutor(
-            Holding.Service("desk"),
-            service,
-            claims,
+            CallParts(
+                Holding.Service("desk"),
+                service,
+                claims,
+                CallMonitor(events, SimpleMeterRegistry())
+            ),
             TwoClasses,
             scope,
             settings,
