Hold the largest resident memory of each role under 256 MB

Cause: the limit of 256 MB for each node was read off runs by hand; nothing failed when a role outgrew it.

--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessUsage.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessUsage.kt
@@ -11,6 +11,13 @@
         private const val USER_TICKS_FIELD = 11
         private const val RESIDENT_PAGES_FIELD = 21
 
+        /** Largest resident memory that the process [pid] ever had, rounded up. */
+        fun largestResidentMb(pid: Long): Long {
+            val line = File("/proc/$pid/status").readLines().first { it.startsWith("VmHWM:") }
+            val sizeKb = line.filter(Char::isDigit).toLong()
+            return (sizeKb + 1_023) / 1_024
+        }
+
         /** Usage of the process [pid]. */
         fun of(pid: Long): ProcessUsage {
             // Fields are counted after the command name, which may hold blanks.
