--- a/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimLimits.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/claims/ClaimLimits.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.decision.claims
 
+import kotlinx.serialization.Serializable
+
 /**
  * Bounds of a bucket of claims.
  *
@@ -12,6 +14,7 @@
  * @property slotCount Values of the key-value service that a bucket uses in turn; at least 3.
  * @property minSliceBytes Size below which a slice is not sealed, whatever its age.
  */
+@Serializable
 data class ClaimLimits(
     val maxBucketBytes: Int = 900_000,
     val retentionMs: Long = 3_600_000,
