Bound the time of experiment runs and add a factor of speed

Cause: a run with a flood of the least urgent class lasted 48 s after a flood of 13 s, since callers of that class wait for a minute. Three policies with seven runs each would have taken more than 8 minutes.

ExperimentSpec, LoadRunSpec, SettingsPageSpec and SchedulingPolicySpec pass.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentCommand.kt
@@ -24,10 +24,14 @@
     private val policy by
         option(ArgType.Choice(POLICIES.keys.toList(), { it }), "policy", "p", "only this policy")
             .multiple()
+    private val speed by
+        option(ArgType.Double, "speed", description = "factor of the speed of all stages")
+            .default(1.0)
 
     override fun run(): ExitCode {
+        if (speed <= 0) return fail(ExitCode.SETTINGS_INVALID, "speed: $speed is not positive")
         val folder = Path.of(output).createDirectories()
-        val named = scenarios().getValue(scenario)
+        val named = scenarios().getValue(scenario).atSpeed(speed)
         val chosen = if (run.isEmpty()) named else named.copy(runs = run)
         val policies = policy.toSet().ifEmpty { POLICIES.keys }
         return try {
--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/LoadPlans.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/LoadPlans.kt
@@ -20,7 +20,8 @@
             run.demands.flatMap { streams(scenario, it, bound, endSeconds) } +
                 bookings(scenario, run, endSeconds)
             ).map { it.copy(callTimeoutMs = targetsMs.getValue(it.workClass) + ANSWER_MS) },
-        retriesRefused = true
+        retriesRefused = true,
+        hangUpAtSecond = endSeconds + SETTLE_SECONDS
     )
 }
 
@@ -65,3 +66,7 @@
 
 // A caller whose answer is this late hangs up. Whole answers take up to 7 s on a full fleet.
 private const val ANSWER_MS = 8_000L
+
+// Whole answers within the targets of the urgent and the middle class end in this time. Waiting for
+// all of a flood of the least urgent class would make a scenario longer by a minute.
+private const val SETTLE_SECONDS = 8.0
--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenario.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenario.kt
@@ -1,6 +1,9 @@
 package org.jacinthlink.cli.experiment
 
+import kotlin.math.ceil
+import org.jacinthlink.cli.site.PipelinePlan
 import org.jacinthlink.cli.site.SitePlan
+import org.jacinthlink.cli.site.StagePlan
 
 /**
  * A site with its callers.
@@ -29,7 +32,24 @@
 ) {
     val model: String get() = site.pipelines.first().model
     val workspaces: List<String> get() = smallWorkspaces + largeWorkspaces
+
+    /** This scenario with stages that are [factor] times as fast, and as much more load. */
+    fun atSpeed(factor: Double): Scenario =
+        copy(site = site.copy(pipelines = site.pipelines.map { it.atSpeed(factor) }))
 }
 
 /** Plain calls of a scenario. */
 internal data class PlainWork(val service: String, val path: String, val workClass: String)
+
+private fun PipelinePlan.atSpeed(factor: Double) =
+    copy(
+        stages = stages.map { it.atSpeed(factor) },
+        maxRunningStreams = maxRunningStreams?.let { ceil(it * factor).toInt() }
+    )
+
+private fun StagePlan.atSpeed(factor: Double) =
+    copy(
+        speed =
+        speed.copy(positionLayerMicros = speed.positionLayerMicros / factor),
+        tokensPerSecond = tokensPerSecond * factor
+    )
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadPlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadPlan.kt
@@ -12,6 +12,7 @@
  * @property seed Seed of random arrivals.
  * @property retriesRefused True to send a request whose connection was refused to the next entry,
  *   as a load balancer does.
+ * @property hangUpAtSecond Second of the run at which all open requests are given up.
  */
 @Serializable
 data class LoadPlan(
@@ -21,5 +22,6 @@
     val arrivals: Arrivals = Arrivals.EVEN,
     val seed: Long = 1,
     val callTimeoutMs: Long = 30_000,
-    val retriesRefused: Boolean = false
+    val retriesRefused: Boolean = false,
+    val hangUpAtSecond: Double? = null
 )
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
@@ -30,6 +30,8 @@
 
 private class LoadRun(private val plan: LoadPlan, private val client: PeerClient) {
     private val requests = schedule(plan)
+    private val hangUpAtUs =
+        plan.hangUpAtSecond?.let { (it * MICROS_PER_SECOND).toLong() } ?: Long.MAX_VALUE
     private val finished = ConcurrentLinkedQueue<FinishedRequest>()
     private val unfinished = CountDownLatch(requests.size)
     private val runId = UUID.randomUUID().toString().take(RUN_ID_CHARS)
@@ -66,7 +68,9 @@
         val timeoutMs = request.stream.callTimeoutMs ?: plan.callTimeoutMs
         val call =
             client.stream(peerCall(request, entryUrl, runId), timeoutMs, listener)
-        val leftUs = request.sendAtUs + timeoutMs * MICROS_PER_MS - nowUs()
+        val givenUpAtUs =
+            minOf(request.sendAtUs + timeoutMs * MICROS_PER_MS, hangUpAtUs)
+        val leftUs = givenUpAtUs - nowUs()
         timeouts.schedule({ call.cancel() }, leftUs, TimeUnit.MICROSECONDS)
     }
 
@@ -83,6 +87,7 @@
     private companion object {
         const val RUN_ID_CHARS = 8
         const val MICROS_PER_MS = 1_000L
+        const val MICROS_PER_SECOND = 1e6
         const val NANOS_PER_MICRO = 1_000L
     }
 }
