--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
@@ -6,6 +6,7 @@
 import org.jacinthlink.cli.site.LocalSite
 import org.jacinthlink.cli.site.SitePlan
 import org.jacinthlink.cli.site.demoPlan
+import org.jacinthlink.entry.admin.StatusAnswer
 import org.jacinthlink.runtime.RunningProcess
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
@@ -41,7 +42,7 @@
     /**
      * Stops [names] gracefully, all at once, and starts each again with its settings.
      *
-     * As a platform does, it goes on once each new process is healthy and serves its peers.
+     * As a platform does, it goes on once each new process is healthy.
      */
     fun restart(names: List<String>) {
         val old = names.map(::process)
@@ -50,12 +51,39 @@
         startAgain(names)
     }
 
-    /** Starts [names] again, which have ended, and waits until their peers use them. */
+    /** Starts [names] again, which have ended, and waits until they are healthy. */
     fun startAgain(names: List<String>) {
         names.forEach(::launchAgain)
         names.forEach { process(it).awaitHealthy() }
     }
 
+    /** Waits until entries and heads use all stages of the plan. */
+    fun awaitWhole() {
+        val speed = site.plan.pipelines.sumOf { line -> line.stages.minOf { it.tokensPerSecond } }
+        val sidecars = site.stages.size + site.services.size
+        val heads = site.stages.filter { it.holding.firstLayer == 0 }.map { it.name }
+        eventually("all stages are in use again", 30_000) {
+            site.entries.all { boundAt(it.process.address) >= speed } &&
+                heads.all { metric(it, INSTANCES) >= sidecars - 1 }
+        }
+    }
+
+    /** Highest flow of the models by the entry at [entry]; 0 if it does not answer. */
+    private fun boundAt(entry: String): Double {
+        val answer = admin(entry, "GET", "/v1/admin/status") as? PeerResult.Answered ?: return 0.0
+        val status = ProtocolJson.decodeFromString(StatusAnswer.serializer(), answer.body)
+        return status.models.sumOf { it.boundTokensPerSecond }
+    }
+
+    /** Value of [meter] of process [name]; 0 if it does not answer. */
+    fun metric(name: String, meter: String): Long {
+        val call = PeerCall("GET", "http://${process(name).address}/metrics")
+        val answer = client.call(call, 2_000, fresh = true) as? PeerResult.Answered
+        return answer?.body.orEmpty().lines()
+            .firstOrNull { it.startsWith("$meter ") }
+            ?.substringAfter(' ')?.toDouble()?.toLong() ?: 0
+    }
+
     private fun launchAgain(name: String): RunningProcess {
         val sidecars = site.stages.map { it.settings } + site.services.map { it.settings }
         val sidecar = sidecars.firstOrNull { it.daemon.name == name }
@@ -95,6 +123,10 @@
         launcher.processes.values.forEach { it.stop() }
         site.close()
     }
+
+    private companion object {
+        const val INSTANCES = "jacinthlink_membership_instances"
+    }
 }
 
 /** Executions of the booking [reference] over all order desks. */
