--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -99,8 +99,7 @@
             headAddress = headAddress,
             isolated = open.isolated,
             workClass = open.workClass,
-            workspace = open.workspace,
-            stageCount = route.size
+            workspace = open.workspace
         )
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -130,23 +130,16 @@
     }
 
     private fun runStep(inputs: List<EngineInput>) {
-        val startNs = System.nanoTime()
         when (val result = engine.step(inputs)) {
-            is EngineResult.Done -> {
-                val positions = inputs.sumOf { it.payloads.size }
-                complete(result.value, positions, (System.nanoTime() - startNs) / NANOS_PER_MS)
-            }
+            is EngineResult.Done -> complete(result.value)
             is EngineResult.Refused -> refused(inputs, result.message)
             is EngineResult.NotSent -> lost(inputs, crashed = false, result.message)
             is EngineResult.Broken -> lost(inputs, crashed = true, result.message)
         }
     }
 
-    private fun complete(outputs: List<EngineOutput>, positions: Int, elapsedMs: Double) {
-        lock.withLock {
-            state.onStepTime(positions, elapsedMs)
-            state.completeStep(outputs, clock.nowMs())
-        }
+    private fun complete(outputs: List<EngineOutput>) {
+        lock.withLock { state.completeStep(outputs, clock.nowMs()) }
         sendReady()
     }
 
@@ -273,6 +266,5 @@
     private companion object {
         const val RECOVERY_INTERVAL_MS = 200L
         const val MAX_IN_FLIGHT = 2
-        const val NANOS_PER_MS = 1_000_000.0
     }
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -69,7 +69,7 @@
 
     /** Inputs of the next step; empty if no stream has any. */
     fun nextStep(): List<EngineInput> {
-        val selected = step.select(streams.values.filter { it.canStep }, streams.values)
+        val selected = step.select(streams.values.filter { it.canStep }, streams.size)
         // A stream that ran goes to the end, so that each prompt gets its turn.
         selected.forEach { input ->
             streams[input.stream] = streams.remove(input.stream)!!
@@ -77,8 +77,6 @@
         return selected
     }
 
-    fun onStepTime(positions: Int, elapsedMs: Double) = step.onStepTime(positions, elapsedMs)
-
     /** Records the outputs of the step in progress. */
     fun completeStep(outputs: List<EngineOutput>, nowMs: Long) {
         for (output in outputs) {
@@ -156,8 +154,7 @@
             replay = isReplay,
             isolated = stream.isolated,
             workClass = stream.workClass,
-            workspace = stream.workspace,
-            stageCount = stream.stageCount
+            workspace = stream.workspace
         )
     }
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
@@ -13,7 +13,6 @@
     val isolated: Boolean = item.isolated
     val workClass: String = item.workClass
     val workspace: WorkspaceId = item.workspace
-    val stageCount: Int = item.stageCount
     var epoch = item.epoch
     var route = item.route
     val outputs = OutputLog()
