--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenarios.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenarios.kt
@@ -138,7 +138,7 @@
 private const val HOP_MS = 0.25
 private const val MICROS_PER_SECOND = 1e6
 
-// Positions per second. Twice as fast stages with answers of 16 to 32 tokens took all cores of a
+// Positions per second. Stages of 200 to 400, with answers of 16 to 32 tokens, took all cores of a
 // shared machine of ten and reached 0.28 of the bound.
 private val SPEEDS = listOf(120.0, 190.0, 145.0, 240.0, 170.0)
 
