--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -12,6 +12,7 @@
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ListedInstance
+import org.jacinthlink.api.Role
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.configuration.ConfigurationConfirmation
 import org.jacinthlink.runtime.configuration.ConfigurationEditor
@@ -71,7 +72,7 @@
     private val announcer =
         Announcer(
             ::describe,
-            { membership.listedPeers().map { it.address } },
+            { membership.listedPeers().filter { it.role == Role.ENTRY }.map { it.address } },
             { subscribers.recent(clock.nowMs()) },
             controlClient
         )
