Move the cancellation of calls out of the dispatcher

The demo also printed "each 1 to 1 times" for layers that ran once.

No change of behaviour but for the message of a call that ran although its key was cancelled. CallSpec, ChatSpec, PlainCallSpec and ConnectionSpec pass.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/demo/DemoCommand.kt
@@ -99,12 +99,15 @@
                 println(
                     "  ${stage.name} in ${stage.settings.daemon.availabilityZone}: layers " +
                         "${layers.first()} to ${layers.last()}, $positions positions, " +
-                        "each ${runs.minOf { it.count }} to ${runs.maxOf { it.count }} times"
+                        "each run ${timesOf(runs.map { it.count })}"
                 )
             }
         }
     }
 
+    private fun timesOf(counts: List<Int>): String =
+        if (counts.all { it == 1 }) "once" else "${counts.min()} to ${counts.max()} times"
+
     private fun showBooking(site: LocalSite, entries: List<String>, client: PeerClient) {
         println("\none booking, sent through each entry with the same idempotency key:")
         entries.forEach { entry ->
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallDispatcher.kt
@@ -1,7 +1,6 @@
 package org.jacinthlink.entry.calls
 
 import org.jacinthlink.api.CallAnswer
-import org.jacinthlink.api.CallCancel
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ResultCode
@@ -172,7 +171,10 @@
 
     private fun conclude(): CallEnd {
         if (dispatchOutcome(fates, cancelled = false) == DispatchOutcome.NOT_RUN) return notRun()
-        job.key?.let { return cancel(it) }
+        job.key?.let { key ->
+            val cancellation = CallCancellation(job, context, directory, transport)
+            return cancellation.run(key, fates) ?: unknown(lastCause)
+        }
         val code =
             if (remainingMs() > 0) ResultCode.OUTCOME_UNKNOWN else ResultCode.DEADLINE_EXCEEDED
         return CallEnd.Failed(code, lastCause, notRun = false)
@@ -188,39 +190,6 @@
         }
     }
 
-    /** Asks that a call of unknown outcome never run, so that the caller can be told so. */
-    private fun cancel(key: String): CallEnd {
-        val call = job.call
-        val cancel = CallCancel(job.requestId, call.workspace, call.service, key, call.bodyHash)
-        val endAtMs = context.clock.nowMs() + MAX_CANCEL_MS
-        return directory.ranked(job).firstNotNullOfOrNull { sidecar ->
-            val leftMs = endAtMs - context.clock.nowMs()
-            if (leftMs > 0) cancelAt(sidecar, cancel, minOf(leftMs, CANCEL_TIMEOUT_MS)) else null
-        } ?: unknown(lastCause)
-    }
-
-    private fun cancelAt(
-        sidecar: InstanceDescription,
-        cancel: CallCancel,
-        timeoutMs: Long
-    ): CallEnd? {
-        val reply = transport.cancel(sidecar, cancel, timeoutMs)
-        record("cancel_asked", "sidecar" to sidecar.instance.value, "reply" to reply)
-        return when (val answer = (reply as? CallReply.Answer)?.answer) {
-            null -> null
-            is CallAnswer.Executed -> CallEnd.Answered(answer)
-            is CallAnswer.Unknown -> unknown(answer.message)
-            is CallAnswer.InProgress -> unknown("the call is in execution")
-            is CallAnswer.Refused -> if (answer.code in CONCLUSIVE) cancelled(answer) else null
-        }
-    }
-
-    private fun cancelled(answer: CallAnswer.Refused): CallEnd =
-        when (dispatchOutcome(fates, cancelled = true)) {
-            DispatchOutcome.NOT_RUN -> CallEnd.Failed(answer.code, answer.message, true)
-            else -> unknown(lastCause)
-        }
-
     private fun unknown(message: String) =
         CallEnd.Failed(ResultCode.OUTCOME_UNKNOWN, message, notRun = false)
 
@@ -229,27 +198,26 @@
     private fun record(name: String, vararg fields: Pair<String, Any?>) =
         context.eventLog.record(name, job.requestId, *fields)
 
-    private companion object {
-        const val MAX_ATTEMPTS = 6
-        const val MIN_ATTEMPT_MS = 1_000L
+    companion object {
+        private const val MAX_ATTEMPTS = 6
+        private const val MIN_ATTEMPT_MS = 1_000L
 
         // A restarted sidecar announces itself within this time.
-        const val MAX_SIDECAR_WAIT_MS = 2_000L
-        const val SIDECAR_POLL_MS = 50L
+        private const val MAX_SIDECAR_WAIT_MS = 2_000L
+        private const val SIDECAR_POLL_MS = 50L
 
         // Pause before a sidecar that refused its connection is tried again.
-        const val ROUND_MS = 250L
+        private const val ROUND_MS = 250L
+
+        private const val IN_PROGRESS_POLL_MS = 200L
+        private const val RETRY_AFTER_MS = 1_000L
 
-        // Sidecars wait 2 s at most for the write of a cancelled claim.
-        const val CANCEL_TIMEOUT_MS = 2_500L
-        const val MAX_CANCEL_MS = 5_000L
-        const val IN_PROGRESS_POLL_MS = 200L
-        const val RETRY_AFTER_MS = 1_000L
+        private val FULL = setOf(ResultCode.OVERLOADED, ResultCode.DEADLINE_UNREACHABLE)
 
-        val FULL = setOf(ResultCode.OVERLOADED, ResultCode.DEADLINE_UNREACHABLE)
+        /** Refusals by the claim of the key, which no other sidecar answers otherwise. */
         val CONCLUSIVE =
             setOf(ResultCode.CANCELLED_BEFORE_RUN, ResultCode.IDEMPOTENCY_KEY_REUSED)
-        val RETRYABLE =
+        private val RETRYABLE =
             FULL +
                 setOf(
                     ResultCode.DRAINING,
