Keep the streams of a cold flood out of the running bound

The bound of running streams took the shortest time between two tokens as the time that a route needs. A flood that meets a cold fleet never shows a short one: its first streams run on cold JVMs beside many others, and the slots that follow from their times keep the times long. The same load twice in one run showed it: gaps of 273 ms at p50 in the first pass, 80 ms in the second, first token of urgent requests 476 and 162 ms at p95.

Ruled out: the length of the queue (it was the same in both passes) and the order of classes (urgent requests start at once in both).

Change: the slots follow from the planned throughput and the time between tokens of the classes. They grow only while requests wait and less than 0.8 of the planned throughput is reached, which a route over slow links needs. The bound also follows changes of the classes; it knew those of the start only.

Fewer streams share a step, so the flood itself is served more slowly.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -228,7 +228,7 @@
     /** Sends heartbeats, refuses expired requests and starts waiting ones. */
     fun tick(nowMs: Long) {
         synchronized(lock) {
-            registry.updateRate(nowMs)
+            registry.updateRates(routes.ownTokensPerSecond(), nowMs)
             registry.takeExpired(nowMs).forEach { stream ->
                 stream.send(
                     refused(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed in the queue"),
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -65,6 +65,7 @@
             } ?: return null
         val stream = queued.remove(request.id) ?: return null
         rate.onStarted(request.costTokens)
+        bound.onStarted(request.costTokens)
         stream.startedAtMs = nowMs
         stream.progressAtMs = nowMs
         running[stream.key] = stream
@@ -77,9 +78,8 @@
         queue.charge(stream.request, 1)
         if (stream.tokens.size == stream.open.emittedTokens.size + 1) {
             rate.onFirstToken(stream.request.workClass, nowMs - stream.startedAtMs, nowMs)
-        } else {
-            bound.onTokenGap(stream.gapMs)
         }
+        bound.onToken(stream.gapMs)
     }
 
     fun remove(key: StreamKey): HeadStream? {
@@ -91,9 +91,15 @@
     fun takeExpired(nowMs: Long): List<HeadStream> =
         queue.takeExpired(nowMs).mapNotNull { queued.remove(it.id) }
 
-    fun update(classes: Map<String, WorkClass>) = queue.update(classes)
+    fun update(classes: Map<String, WorkClass>) {
+        queue.update(classes)
+        bound.update(classes)
+    }
 
-    fun updateRate(nowMs: Long) = rate.update(queued.size, nowMs)
+    fun updateRates(plannedTokensPerSecond: Double, nowMs: Long) {
+        rate.update(queued.size, nowMs)
+        bound.update(queued.size, plannedTokensPerSecond, nowMs)
+    }
 
     fun load(nowMs: Long): LoadReport {
         val waitMs = queue.waitingTokens * 1_000.0 / rate.tokensPerSecond
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -139,13 +139,12 @@
 
 private fun registry(parts: StageParts): HeadRegistry {
     val classes = parts.configuration.current.classes
-    val tokenGapMs = classes.values.minOfOrNull { it.tokenGapMs } ?: DEFAULT_TOKEN_GAP_MS
     return HeadRegistry(
         fairQueue(classes),
         admission(policy = parts.policy),
         // Until it is measured: a prompt takes about half of the tokens of a request.
         ServiceRate(parts.holding.tokensPerSecond / 2),
-        RunningBound(parts.headLimits.maxRunningStreams, tokenGapMs.toDouble()),
+        RunningBound(parts.headLimits.maxRunningStreams, classes),
         parts.policy
     )
 }
@@ -158,5 +157,3 @@
     parts.scope.onClose { executor.shutdownNow() }
     return executor
 }
-
-private const val DEFAULT_TOKEN_GAP_MS = 35L
