--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadRegistry.kt
@@ -79,7 +79,7 @@
         if (stream.tokens.size == stream.open.emittedTokens.size + 1) {
             rate.onFirstToken(stream.request.workClass, nowMs - stream.startedAtMs, nowMs)
         }
-        bound.onToken(stream.gapMs)
+        bound.onToken()
     }
 
     fun remove(key: StreamKey): HeadStream? {
