Share the start of a site and the reference answer within cli

Cause: the start of a site (all daemons healthy, classes applied, first request answered) was part of ExperimentSite, and the comparison with the reference answer part of RequestListener. A second command that starts a site of its own would have needed copies of both.

Ruled out: use of ExperimentSite as it is. It belongs to a scenario with faults, and its proxy delays the callers, which a measurement of latency must not contain.

SiteStart now starts a site; referenceTokens gives the right answer to a request. Timeouts and conditions are unchanged.

Seen: ExperimentSpec and LoadRunSpec pass as before (mvn -B -ntp -o test -pl cli -am -Dtest='ExperimentSpec,LoadRunSpec' -Dsurefire.failIfNoSpecifiedTests=false).

--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentSite.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentSite.kt
@@ -1,17 +1,12 @@
 package org.jacinthlink.cli.experiment
 
-import org.jacinthlink.api.ProtocolJson
-import org.jacinthlink.api.WorkClass
-import org.jacinthlink.cli.admin.AdminAnswer
-import org.jacinthlink.cli.admin.AdminClient
 import org.jacinthlink.cli.load.LoadStream
 import org.jacinthlink.cli.load.ScheduledRequest
 import org.jacinthlink.cli.load.peerCall
 import org.jacinthlink.cli.site.Launcher
 import org.jacinthlink.cli.site.LocalSite
 import org.jacinthlink.cli.site.SiteEntry
-import org.jacinthlink.runtime.http.PeerCall
-import org.jacinthlink.runtime.http.PeerResult
+import org.jacinthlink.cli.site.SiteStart
 import org.jacinthlink.runtime.http.peerClient
 import org.jacinthlink.standins.ProxyFaults
 import org.jacinthlink.standins.ProxyListenerSettings
@@ -23,6 +18,7 @@
     private val site = LocalSite(scenario.site, launcher)
     private val clientLinks = startFaultProxy()
     private val client = peerClient()
+    private val siteStart = SiteStart(site, client)
 
     /** URLs at which callers reach the entries. */
     val entryUrls: List<String> get() =
@@ -30,13 +26,8 @@
 
     /** Starts all daemons and waits until each entry answers. */
     fun start() {
-        site.start()
+        siteStart.start()
         site.entries.forEach(::addClientLink)
-        val processes =
-            site.entries.map { it.process } + site.stages.map { it.sidecar } +
-                site.services.map { it.sidecar }
-        processes.forEach { awaitHealthy(it.address) }
-        scenario.site.classes.forEach(::put)
         site.entries.forEach(::awaitAnswer)
     }
 
@@ -87,24 +78,10 @@
         val stage = site.stages[index]
         val restarted = site.restartSidecar(stage.settings)
         site.stages[index] = stage.copy(sidecar = restarted)
-        awaitHealthy(restarted.address)
+        siteStart.awaitHealthy(restarted.address)
         Thread.sleep(REJOIN_MS)
     }
 
-    private fun put(workClass: WorkClass) {
-        val admin =
-            AdminClient(site.entries[0].process.address, LocalSite.OPERATOR_TOKEN, client)
-        val body = ProtocolJson.encodeToString(WorkClass.serializer(), workClass)
-        val answer = admin.call("PUT", "/v1/admin/classes/${workClass.name}", body)
-        check(answer is AdminAnswer.Ok) { "class ${workClass.name} was not set: $answer" }
-    }
-
-    private fun awaitHealthy(address: String) =
-        await("$address is healthy") {
-            val result = client.call(PeerCall("GET", "http://$address/health"), CALL_TIMEOUT_MS)
-            result is PeerResult.Answered && result.isSuccess
-        }
-
     private fun awaitAnswer(entry: SiteEntry) {
         val work =
             LoadStream(
@@ -118,26 +95,10 @@
             )
         val call =
             peerCall(ScheduledRequest(0, work, 0), "http://${entry.process.address}", "ready")
-        await("${entry.name} routes requests") {
-            val result = client.call(call, CALL_TIMEOUT_MS)
-            result is PeerResult.Answered && result.isSuccess && "[DONE]" in result.body
-        }
-    }
-
-    private fun await(what: String, condition: () -> Boolean) {
-        val deadlineNs = System.nanoTime() + START_TIMEOUT_MS * NANOS_PER_MS
-        while (!condition()) {
-            check(System.nanoTime() < deadlineNs) { "not within $START_TIMEOUT_MS ms: $what" }
-            Thread.sleep(POLL_MS)
-        }
+        siteStart.awaitAnswer("${entry.name} routes requests", call, "[DONE]")
     }
 
     private companion object {
-        const val CALL_TIMEOUT_MS = 2_000L
-        const val START_TIMEOUT_MS = 60_000L
-        const val POLL_MS = 50L
-        const val NANOS_PER_MS = 1_000_000L
-
         // Two polls of the instance list, so that all heads know the restarted stage.
         const val REJOIN_MS = 4_000L
     }
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestCall.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestCall.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.putJsonArray
 import org.jacinthlink.api.Headers
 import org.jacinthlink.runtime.http.PeerCall
+import org.jacinthlink.standins.referenceAnswer
 
 /** Words of the prompt of [request]. They differ between requests, so that crossed answers show. */
 internal fun promptWords(request: ScheduledRequest): List<String> =
@@ -14,6 +15,19 @@
         if (index == 0) "${request.stream.name}-${request.number}" else "word$index"
     }
 
+/** Tokens that an entry makes of the prompt of [request]: the words of "role: content". */
+internal fun promptTokens(request: ScheduledRequest): List<String> =
+    listOf("user:") + promptWords(request)
+
+/** Right answer to [request], whose stream has a model and its number of layers. */
+internal fun referenceTokens(request: ScheduledRequest): List<String> =
+    referenceAnswer(
+        request.stream.model!!,
+        request.stream.verifyLayerCount!!,
+        promptTokens(request),
+        request.stream.maxTokens
+    )
+
 /** The HTTP call of [request] to the entry at [entryUrl]. [runId] keeps runs apart. */
 internal fun peerCall(request: ScheduledRequest, entryUrl: String, runId: String): PeerCall {
     val stream = request.stream
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestListener.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestListener.kt
@@ -3,7 +3,6 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import org.jacinthlink.runtime.http.LineListener
 import org.jacinthlink.runtime.http.PeerResult
-import org.jacinthlink.standins.referenceAnswer
 
 /** Follows one request and passes its result to [onFinished] once. */
 internal class RequestListener(
@@ -29,13 +28,8 @@
         onFinished(FinishedRequest(request, outcome, nowUs(), reader.tokenTimesUs, wrong))
     }
 
-    private fun isWrong(): Boolean {
-        val stream = request.stream
-        val model = stream.model ?: return false
-        val layerCount = stream.verifyLayerCount ?: return false
-        // The entry makes tokens of the words of "role: content".
-        val prompt = listOf("user:") + promptWords(request)
-        val expected = referenceAnswer(model, layerCount, prompt, stream.maxTokens)
-        return reader.answer != expected.joinToString("")
-    }
+    private fun isWrong(): Boolean =
+        request.stream.model != null &&
+            request.stream.verifyLayerCount != null &&
+            reader.answer != referenceTokens(request).joinToString("")
 }
