Start daemons as processes through one launcher

Cause: the command line and the process tests each had a launcher and a process class with the same JVM options, command, settings file, log name and shutdown hook, so that a change of one could miss the other.

ProcessLauncher and DaemonProcess move to cli.site and become public. The class path is an argument, because Surefire states it in a property of its own. TestLauncher keeps the latest process of each name, and JvmProcess adds what only tests do: waiting for health, freezing, thawing, killing.

Ruled out: freezing and killing in DaemonProcess, since the command line does neither.

No change of behaviour; no assertion changed.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/ExperimentCommand.kt
@@ -10,6 +10,7 @@
 import org.jacinthlink.cli.Command
 import org.jacinthlink.cli.ExitCode
 import org.jacinthlink.cli.fail
+import org.jacinthlink.cli.site.ProcessLauncher
 
 /** Runs a scenario on processes under the policy of the system and two baselines. */
 internal class ExperimentCommand :
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
@@ -88,7 +88,7 @@
             // Guards against secrets that reach whoever reads the logs.
             it("hold no token") {
                 fleet.launcher.processes.values.forEach { process ->
-                    val log = process.logFile.readText()
+                    val log = process.readLog()
                     log shouldNotContain LocalSite.OPERATOR_TOKEN
                     log shouldNotContain LocalSite.PEER_TOKEN
                 }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessSite.kt
@@ -14,7 +14,7 @@
 
 /** A site whose daemons are operating-system processes. */
 class ProcessSite(plan: SitePlan = demoPlan()) : AutoCloseable {
-    val launcher = ProcessLauncher()
+    val launcher = TestLauncher()
     val site = LocalSite(plan, launcher)
     private val client = peerClient()
 
