Ask all members for events and figures in one place

Cause: EventGatherer and FiguresGatherer each sent a request to many members at the same time, decoded the answers and took a late, failed or malformed one as missing.

MemberQueries does this for both; the executors, the time-outs of 5 s and 3 s, and the one of 1 s for a call stay as they were.

Ruled out: one executor for both, since a wide search for events would then hold up the status.

No change of behaviour; no test changed.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/EventGatherer.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/EventGatherer.kt
@@ -1,25 +1,23 @@
 package org.jacinthlink.entry.admin
 
 import java.net.URLEncoder
-import java.util.concurrent.Callable
-import java.util.concurrent.CancellationException
-import java.util.concurrent.ExecutionException
-import java.util.concurrent.TimeUnit
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
-import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.boundedExecutor
 import org.jacinthlink.runtime.events.Event
 import org.jacinthlink.runtime.events.EventFilter
 import org.jacinthlink.runtime.events.INSTANCE_FIELDS
-import org.jacinthlink.runtime.http.PeerCall
-import org.jacinthlink.runtime.http.PeerResult
-import org.jacinthlink.runtime.membership.KnownMember
 
 /** Gathers events from all known instances. */
 internal class EventGatherer(private val context: EntryContext) {
     private val executor = boundedExecutor(context.scope, "events", threads = 32, queued = 4_096)
+    private val queries =
+        MemberQueries(
+            context.peerClient,
+            executor,
+            ListSerializer(Event.serializer()),
+            TIMEOUT_MS
+        )
 
     /** The events of [filter], and for a class or a fault all events of its latest requests. */
     fun gather(filter: EventFilter): EventsAnswer {
@@ -43,13 +41,7 @@
         val own = context.eventLog.recent().filter(filter::matches)
         // One that is draining or excluded may answer, and is named as missing if it does not.
         val peers = context.membership.members()
-        val asked =
-            executor.invokeAll(
-                peers.map { Callable { ask(it, filter) } },
-                TIMEOUT_MS,
-                TimeUnit.MILLISECONDS
-            )
-        val answers = peers.zip(asked.map(::resultOf))
+        val answers = queries.ask(peers, "/v1/events?${query(filter)}")
         return Round(
             own + answers.flatMap { it.second.orEmpty() },
             peers.map { it.instance.value }.toSet() + context.instance.value,
@@ -74,26 +66,6 @@
             .filter { it.isNotEmpty() && it != "null" }
             .toSet()
 
-    private fun resultOf(asked: java.util.concurrent.Future<List<Event>?>): List<Event>? =
-        try {
-            asked.get()
-        } catch (_: CancellationException) {
-            null
-        } catch (_: ExecutionException) {
-            null
-        }
-
-    private fun ask(peer: KnownMember, filter: EventFilter): List<Event>? {
-        val url = "http://${peer.listed.address}/v1/events?${query(filter)}"
-        val result = context.peerClient.call(PeerCall("GET", url), CALL_TIMEOUT_MS)
-        if (result !is PeerResult.Answered || !result.isSuccess) return null
-        return try {
-            ProtocolJson.decodeFromString(ListSerializer(Event.serializer()), result.body)
-        } catch (_: SerializationException) {
-            null
-        }
-    }
-
     private fun query(filter: EventFilter): String =
         when (filter) {
             EventFilter.All -> ""
@@ -106,7 +78,6 @@
     private fun encoded(value: String) = URLEncoder.encode(value, Charsets.UTF_8)
 
     private companion object {
-        const val CALL_TIMEOUT_MS = 1_000L
         const val TIMEOUT_MS = 5_000L
 
         // Bounds the query string and the size of a page; the latest requests show the present.
