Build the two large sites of the scenarios in one function

Cause: both large scenarios stated the number of entries, the forty runners and the services over all zones in the same words.

Ruled out: one function for whole scenarios, since ranks, calls and workspaces differ.

No change of behaviour; no test changed. After: ExperimentSpec passes, which checks the runners and the bounds of both sites (mvn -B -ntp test -pl cli -am -Dtest=ExperimentSpec -Dsurefire.failIfNoSpecifiedTests=false), and so do ktlint:check and detekt:check.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenarios.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/experiment/Scenarios.kt
@@ -53,14 +53,7 @@
     val zones = listOf("bayanzurkh", "khan-uul", "songino")
     return Scenario(
         name = "ulaanbaatar",
-        site =
-        SitePlan(
-            entries = 3,
-            zones = zones,
-            pipelines = fortyRunners(DEMO_MODEL, zones),
-            services = listOf(ServicePlan("order-desk", zones)),
-            classes = standardClasses() + BOOKING
-        ),
+        site = largeSite(DEMO_MODEL, "order-desk", zones, standardClasses() + BOOKING),
         urgent = Rank("quotation", 8, 6),
         middle = Rank("question", 16, 8),
         low = Rank("summary", 24, 8),
@@ -74,22 +67,16 @@
 
 private fun gangeticBengal(): Scenario {
     val zones = listOf("howrah", "bardhaman", "nadia")
+    val classes =
+        listOf(
+            WorkClass("sale-note", targetMs = 750, worth = 100),
+            WorkClass("bidder-reply", targetMs = 1_500, worth = 60),
+            WorkClass("archive", targetMs = 60_000, tokenGapMs = 1_000, worth = 2),
+            BOOKING
+        )
     return Scenario(
         name = "gangetic-bengal",
-        site =
-        SitePlan(
-            entries = 3,
-            zones = zones,
-            pipelines = fortyRunners("lot-60", zones),
-            services = listOf(ServicePlan("ledger", zones)),
-            classes =
-            listOf(
-                WorkClass("sale-note", targetMs = 750, worth = 100),
-                WorkClass("bidder-reply", targetMs = 1_500, worth = 60),
-                WorkClass("archive", targetMs = 60_000, tokenGapMs = 1_000, worth = 2),
-                BOOKING
-            )
-        ),
+        site = largeSite("lot-60", "ledger", zones, classes),
         urgent = Rank("sale-note", 8, 6),
         middle = Rank("bidder-reply", 16, 8),
         low = Rank("archive", 24, 8),
@@ -101,6 +88,19 @@
     )
 }
 
+private fun largeSite(
+    model: String,
+    service: String,
+    zones: List<String>,
+    classes: List<WorkClass>
+) = SitePlan(
+    entries = 3,
+    zones = zones,
+    pipelines = fortyRunners(model, zones),
+    services = listOf(ServicePlan(service, zones)),
+    classes = classes
+)
+
 // Three pipelines of three stages, four of four and three of five. Equal ranges lie in different
 // zones, so that no zone holds all copies of a layer.
 private fun fortyRunners(model: String, zones: List<String>): List<PipelinePlan> =
