Share the expected answer and the roles among process tests

Cause: four specs computed the answer of the model of the demo on their own beside expectedAnswer, and two had the same roleOf.

No assertion changed; each compares with the same answer as before. After: these pass: mvn -B -ntp test -pl processtests -am -Dtest='FailoverSpec,ConnectionSpec,WholePathSpec,PlacementSpec,MemorySpec,CostSpec' -Dsurefire.failIfNoSpecifiedTests=false, ktlint:check and detekt:check.

--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ConnectionSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ConnectionSpec.kt
@@ -7,14 +7,10 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.jacinthlink.api.ResultCode
-import org.jacinthlink.cli.site.DEMO_MODEL
 import org.jacinthlink.cli.site.demoPlan
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.standins.ProxyDirection
 import org.jacinthlink.standins.ProxyFaults
-import org.jacinthlink.standins.referenceAnswer
-
-private const val LAYERS = 12
 
 class ConnectionSpec :
     DescribeSpec({
@@ -22,9 +18,6 @@
         val proxy = fleet.site.proxy!!
         afterSpec { fleet.close() }
 
-        fun expected(question: Question) =
-            referenceAnswer(DEMO_MODEL, LAYERS, question.promptTokens, question.maxTokens)
-
         /** Silences all connections to the stage at [hop] of a running stream. */
         fun silencedAt(hop: Int): Pair<Question, StreamedAnswer> {
             val question = Question("silent hop $hop", maxTokens = 120)
@@ -44,7 +37,7 @@
                 it("to stage $hop cost the stream two seconds at most") {
                     val (question, answer) = silencedAt(hop)
                     withClue(answer.error) {
-                        answer.tokens.toList() shouldContainExactly expected(question)
+                        answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                     }
                     answer.arrivedAtMs.zipWithNext { a, b -> b - a }.max() shouldBeLessThan 2_000
                 }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/CostSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/CostSpec.kt
@@ -42,14 +42,6 @@
                 )
             )
 
-        fun roleOf(name: String) =
-            when {
-                name.startsWith("entry") -> "entry"
-                name.startsWith("order-desk") -> "service sidecar"
-                name.endsWith("-0") -> "head sidecar"
-                else -> "stage sidecar"
-            }
-
         /** Prints the usage of each role while [work] runs. */
         fun measured(label: String, work: () -> Unit) {
             val before = fleet.launcher.processes.mapValues { ProcessUsage.of(it.value.pid) }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/FailoverSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/FailoverSpec.kt
@@ -7,10 +7,8 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.jacinthlink.api.ResultCode
-import org.jacinthlink.cli.site.DEMO_MODEL
 import org.jacinthlink.cli.site.SiteStage
 import org.jacinthlink.cli.site.demoPlan
-import org.jacinthlink.standins.referenceAnswer
 
 private const val LAYERS = 12
 private const val CRASH_WORD = "detonate"
@@ -18,9 +16,6 @@
 class FailoverSpec :
     DescribeSpec({
         describe("a fleet of two pipelines over processes") {
-            fun expected(question: Question) =
-                referenceAnswer(DEMO_MODEL, LAYERS, question.promptTokens, question.maxTokens)
-
             /** Stages that run [answer], first layer first. */
             fun ProcessSite.routeOf(answer: StreamedAnswer): List<SiteStage> =
                 site.stages
@@ -42,7 +37,7 @@
                     fleet.process(middle.name).kill()
                     answer.await()
                     withClue(answer.error) {
-                        answer.tokens.toList() shouldContainExactly expected(question)
+                        answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                     }
                     val positions = question.promptTokens.size + question.maxTokens - 1
                     fleet.site.shouldHaveRunOnce(answer.requestId, LAYERS, positions, 4..7)
@@ -61,7 +56,7 @@
                     last.thaw()
                     answer.await()
                     withClue(answer.error) {
-                        answer.tokens.toList() shouldContainExactly expected(question)
+                        answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                     }
                     answer.largestGapMs() shouldBeLessThan 3_000
                 }
@@ -75,7 +70,7 @@
                     fleet.process(fleet.routeOf(answer)[0].name).kill()
                     answer.await()
                     withClue(answer.error) {
-                        answer.tokens.toList() shouldContainExactly expected(question)
+                        answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                     }
                     answer.largestGapMs() shouldBeLessThan 3_000
                 }
@@ -96,11 +91,11 @@
                     answers.forEach { (question, answer) ->
                         answer.await()
                         withClue(answer.error) {
-                            answer.tokens.toList() shouldContainExactly expected(question)
+                            answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                         }
                     }
                     withClue(lateAnswer.error) {
-                        lateAnswer.tokens.toList() shouldContainExactly expected(late)
+                        lateAnswer.tokens.toList() shouldContainExactly expectedAnswer(late)
                     }
                     fleet.routeOf(lateAnswer).map { it.name } shouldContainExactly
                         fleet.site.stages.drop(3).map { it.name }
@@ -125,13 +120,7 @@
                     bystanders.forEach { (question, answer) ->
                         answer.await()
                         withClue(answer.error) {
-                            answer.tokens.toList() shouldContainExactly
-                                referenceAnswer(
-                                    DEMO_MODEL,
-                                    LAYERS,
-                                    question.promptTokens,
-                                    question.maxTokens
-                                )
+                            answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                         }
                     }
                 }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/MemorySpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/MemorySpec.kt
@@ -16,14 +16,6 @@
         val fleet = ProcessSite().start()
         afterSpec { fleet.close() }
 
-        fun roleOf(name: String) =
-            when {
-                name.startsWith("entry") -> "entry"
-                name.startsWith("order-desk") -> "service sidecar"
-                name.endsWith("-0") -> "head sidecar"
-                else -> "stage sidecar"
-            }
-
         describe("each role under a load of streams") {
             // Guards against a daemon that outgrows the memory of a small instance.
             it("stays under 256 MB of resident memory at its largest") {
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/PlacementSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PlacementSpec.kt
@@ -9,14 +9,10 @@
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.ProtocolJson
-import org.jacinthlink.cli.site.DEMO_MODEL
 import org.jacinthlink.cli.site.LocalSite
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.runtime.http.peerClient
-import org.jacinthlink.standins.referenceAnswer
-
-private const val LAYERS = 12
 
 class PlacementSpec :
     DescribeSpec({
@@ -71,13 +67,7 @@
                 val killedAtMs = System.currentTimeMillis()
                 answer.await(40_000)
                 withClue(answer.error) {
-                    answer.tokens.toList() shouldContainExactly
-                        referenceAnswer(
-                            DEMO_MODEL,
-                            LAYERS,
-                            question.promptTokens,
-                            question.maxTokens
-                        )
+                    answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                 }
                 val resumedAtMs = answer.arrivedAtMs.first { it - killedAtMs > 1_000 }
                 println("placement_resumed_ms=${resumedAtMs - killedAtMs}")
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessUsage.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/ProcessUsage.kt
@@ -28,3 +28,12 @@
         }
     }
 }
+
+/** Role of the process [name] of the demo. */
+fun roleOf(name: String): String =
+    when {
+        name.startsWith("entry") -> "entry"
+        name.startsWith("order-desk") -> "service sidecar"
+        name.endsWith("-0") -> "head sidecar"
+        else -> "stage sidecar"
+    }
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/WholePathSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/WholePathSpec.kt
@@ -13,7 +13,6 @@
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.cli.site.DEMO_MODEL
 import org.jacinthlink.runtime.http.PeerResult
-import org.jacinthlink.standins.referenceAnswer
 
 private const val LAYERS = 12
 
@@ -22,15 +21,12 @@
         val fleet = ProcessSite().start()
         afterSpec { fleet.close() }
 
-        fun expected(question: Question) =
-            referenceAnswer(DEMO_MODEL, LAYERS, question.promptTokens, question.maxTokens)
-
         describe("a chat request over separate processes") {
             // Guards against lost, doubled or reordered tokens and layers on the plain path.
             it("streams the answer of the model, each layer run once for each token") {
                 val question = Question("price of forty rear lamps", maxTokens = 30)
                 val answer = fleet.caller().stream(question).await()
-                answer.tokens.toList() shouldContainExactly expected(question)
+                answer.tokens.toList() shouldContainExactly expectedAnswer(question)
                 answer.isDone shouldBe true
                 val positions = question.promptTokens.size + question.maxTokens - 1
                 fleet.site.shouldHaveRunOnce(answer.requestId, LAYERS, positions)
@@ -45,7 +41,7 @@
                 val question = Question("are these reflectors compatible")
                 val answer = fleet.caller(entry = 1).chat(question)
                 val body = answer.shouldBeInstanceOf<PeerResult.Answered>().body
-                body shouldContain expected(question).joinToString("")
+                body shouldContain expectedAnswer(question).joinToString("")
             }
             // Guards against answers that reach another caller.
             it("gives each of many concurrent callers its own answer") {
@@ -60,7 +56,7 @@
                     }.map { it.get(60, TimeUnit.SECONDS) }
                 pool.shutdown()
                 answers.filter { (question, answer) ->
-                    answer.tokens.toList() != expected(question)
+                    answer.tokens.toList() != expectedAnswer(question)
                 }.map { (question, answer) -> question.text to answer.error }.shouldBeEmpty()
             }
         }
