Decode messages that may be malformed in one place

Cause: eight places decoded JSON and took text of another shape as none, each with its own try and catch.

Ruled out: the callers that answer or report a malformed message with its error, which need the exception. The shared function also catches IllegalArgumentException, as the one of the platform module did; no type that is decoded here throws it, so nothing else is taken as malformed.

No change of behaviour; no test changed. After: these pass: mvn -B -ntp test -pl platform,runtime,entry,sidecar,cli -am -Dtest='EtcdKeyValueServiceSpec,HttpInstanceListSpec,HttpModelEngineSpec,HttpWeightStoreSpec,MembershipSpec,MembershipTableSpec,ConfigurationEditorSpec,ConfigurationSyncSpec,CallSpec,LoadRunSpec,ChatSpec,PipelineSpec' -Dsurefire.failIfNoSpecifiedTests=false, the same with -pl processtests and PlacementSpec, ktlint:check and detekt:check.

--- /dev/null
+++ b/api/src/main/kotlin/org/jacinthlink/api/DecodeOrNull.kt
@@ -0,0 +1,15 @@
+package org.jacinthlink.api
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Decodes [text], or returns null if it has another shape. */
+fun <T> Json.decodeOrNull(serializer: KSerializer<T>, text: String): T? =
+    try {
+        decodeFromString(serializer, text)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/AnswerReader.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/AnswerReader.kt
@@ -2,11 +2,11 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.ErrorBody
 import org.jacinthlink.api.ErrorDetail
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.runtime.http.PeerResult
 
 /** Reads the answer to one request line by line. Times are in microseconds of the run. */
@@ -35,7 +35,8 @@
 
     /** Outcome of the request. [failure] is set if the call did not end in the regular way. */
     fun outcome(failure: PeerResult?): RequestOutcome {
-        val reported = error ?: decodeOrNull(ErrorBody.serializer(), body.toString())?.error
+        val reported =
+            error ?: ProtocolJson.decodeOrNull(ErrorBody.serializer(), body.toString())?.error
         return when {
             failure is PeerResult.NotSent -> RequestOutcome.NOT_SENT
             reported != null -> outcomeOf(reported)
@@ -57,7 +58,7 @@
         }
 
     private fun event(json: String, nowUs: Long) {
-        val chunk = decodeOrNull(Chunk.serializer(), json) ?: return
+        val chunk = ProtocolJson.decodeOrNull(Chunk.serializer(), json) ?: return
         chunk.error?.let { error = it }
         val content = chunk.choices.firstOrNull()?.delta?.content.orEmpty()
         if (content.isEmpty()) return
@@ -65,13 +66,6 @@
         text.append(content)
     }
 
-    private fun <T> decodeOrNull(serializer: kotlinx.serialization.KSerializer<T>, json: String) =
-        try {
-            ProtocolJson.decodeFromString(serializer, json)
-        } catch (_: SerializationException) {
-            null
-        }
-
     @Serializable
     private data class Chunk(
         val choices: List<Choice> = emptyList(),
--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/MemberQueries.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/MemberQueries.kt
@@ -7,8 +7,8 @@
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.http.PeerResult
@@ -37,11 +37,7 @@
         val call = PeerCall("GET", "http://${member.listed.address}$path")
         val result = client.call(call, CALL_TIMEOUT_MS)
         if (result !is PeerResult.Answered || !result.isSuccess) return null
-        return try {
-            ProtocolJson.decodeFromString(format, result.body)
-        } catch (_: SerializationException) {
-            null
-        }
+        return ProtocolJson.decodeOrNull(format, result.body)
     }
 
     private fun resultOf(asked: Future<T?>): T? =
--- a/entry/src/main/kotlin/org/jacinthlink/entry/heads/LoadProber.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/heads/LoadProber.kt
@@ -1,10 +1,10 @@
 package org.jacinthlink.entry.heads
 
 import java.util.concurrent.ConcurrentHashMap
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.tryExecute
@@ -53,12 +53,7 @@
     }
 
     private fun reported(head: FlowStage, body: String) {
-        val report =
-            try {
-                ProtocolJson.decodeFromString(LoadReport.serializer(), body)
-            } catch (_: SerializationException) {
-                return
-            }
+        val report = ProtocolJson.decodeOrNull(LoadReport.serializer(), body) ?: return
         directory.loads.reported(head.instance, report, context.clock.nowMs())
     }
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationCodec.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/configuration/ConfigurationCodec.kt
@@ -1,9 +1,9 @@
 package org.jacinthlink.runtime.configuration
 
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.Configuration
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.VersionedValue
+import org.jacinthlink.api.decodeOrNull
 
 /** Key of the document in the key-value service. */
 internal const val CONFIGURATION_KEY = "jacinthlink/config"
@@ -14,11 +14,7 @@
 
 /** Document in [json], or null if it is not one. */
 internal fun decodeConfiguration(json: String): Configuration? =
-    try {
-        ProtocolJson.decodeFromString(Configuration.serializer(), json)
-    } catch (_: SerializationException) {
-        null
-    }
+    ProtocolJson.decodeOrNull(Configuration.serializer(), json)
 
 /** Document in [stored]; its revision is the version of the key. Null if it is not readable. */
 internal fun decodeStored(stored: VersionedValue?): Configuration? =
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/ListReader.kt
@@ -1,11 +1,11 @@
 package org.jacinthlink.runtime.membership
 
 import kotlin.random.Random
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.InstanceList
 import org.jacinthlink.api.InstanceListResult
 import org.jacinthlink.api.ListedInstance
 import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
 import org.jacinthlink.runtime.http.PeerCall
@@ -86,11 +86,7 @@
     }
 
     private fun decode(body: String): PeerInstanceList? =
-        try {
-            ProtocolJson.decodeFromString(PeerInstanceList.serializer(), body)
-        } catch (_: SerializationException) {
-            null
-        }
+        ProtocolJson.decodeOrNull(PeerInstanceList.serializer(), body)
 
     private companion object {
         const val MIN_INTERVAL_MS = 2_000L
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/membership/PollingMembership.kt
@@ -4,12 +4,12 @@
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 import kotlin.random.Random
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.InstanceList
 import org.jacinthlink.api.ListedInstance
 import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
 import org.jacinthlink.runtime.http.PeerCall
@@ -121,13 +121,9 @@
         }
 
     private fun decode(answer: PeerResult.Answered): InstanceDescription? =
-        try {
-            answer
-                .takeIf { it.isSuccess }
-                ?.let { ProtocolJson.decodeFromString(InstanceDescription.serializer(), it.body) }
-        } catch (_: SerializationException) {
-            null
-        }
+        answer
+            .takeIf { it.isSuccess }
+            ?.let { ProtocolJson.decodeOrNull(InstanceDescription.serializer(), it.body) }
 
     private fun excluded(instance: InstanceId, reason: String, changed: Boolean) {
         if (!changed) return
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/placement/PlacementClaims.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/placement/PlacementClaims.kt
@@ -1,11 +1,11 @@
 package org.jacinthlink.sidecar.placement
 
-import kotlinx.serialization.SerializationException
 import org.jacinthlink.api.Holding
 import org.jacinthlink.api.KeyValueService
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ReadResult
 import org.jacinthlink.api.SwapResult
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.decision.placement.PlacementClaim
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.runtime.Clock
@@ -39,11 +39,7 @@
 
     // An unreadable claim must not keep runners from moving for ever.
     private fun decode(value: String): PlacementClaim? =
-        try {
-            ProtocolJson.decodeFromString(PlacementClaim.serializer(), value)
-        } catch (_: SerializationException) {
-            null
-        }
+        ProtocolJson.decodeOrNull(PlacementClaim.serializer(), value)
 
     private companion object {
         // Longer than a move, which waits for streams and has its engine load the layers.
