Leave the switch for placement to its policy

Cause: placement.enabled was checked when a stage started and again in each decision.

PlacementPolicy alone checks it, where a test guards it. A runner that is told to stay now asks its policy every 500 ms, as all others do, and the answer is always to stay.

Ruled out: the check at the start alone, since the policy would then ignore one of its own limits and its test would have to go.

No change of where layers lie; no test changed. The switch was tested in the policy only, not with processes.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/StageLogic.kt
@@ -46,7 +46,7 @@
         scope.run("start") {
             while (runCatching { context.address }.isFailure) Thread.sleep(LISTEN_POLL_MS)
             stage.start()
-            if (settings.placement.enabled) startPlacement()
+            startPlacement()
         }
     }
 
