--- a/cli/src/main/kotlin/org/jacinthlink/cli/measure/OverheadCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/measure/OverheadCommand.kt
@@ -10,8 +10,8 @@
 import kotlinx.cli.default
 import org.jacinthlink.cli.Command
 import org.jacinthlink.cli.ExitCode
-import org.jacinthlink.cli.experiment.ProcessLauncher
 import org.jacinthlink.cli.fail
+import org.jacinthlink.cli.site.ProcessLauncher
 
 /** Compares requests through an entry with the same work directly at the backend servers. */
 internal class OverheadCommand :
--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/DaemonProcess.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/DaemonProcess.kt
@@ -38,12 +38,12 @@
         process.destroyForcibly().waitFor()
     }
 
-    internal companion object {
+    companion object {
         // The heap cap shows that a daemon fits into a small instance.
         private val jvmOptions =
             listOf("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k")
 
-        /** Starts `jacinthlink [arguments]` from [classPath] with its output in [log]. */
+        /** Starts `jacinthlink` with [arguments] from [classPath] with its output in [log]. */
         fun start(
             name: String,
             address: String,
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/OverheadCommandSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/OverheadCommandSpec.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.double
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.jacinthlink.cli.site.DaemonProcess
 
 class OverheadCommandSpec :
     DescribeSpec({
@@ -23,7 +24,9 @@
                 val json = folder.resolve("overhead.json")
                 val options = listOf("--requests", "3", "--warm-up", "1", "--json", json.path)
                 val arguments = listOf("measure", "overhead") + options
-                val command = JvmProcess.start("measure", "", log, *arguments.toTypedArray())
+                val classPath = System.getProperty("java.class.path")
+                val command =
+                    DaemonProcess.start("measure", "", log.toPath(), classPath, arguments)
                 val hasEnded = command.awaitEnd(100_000)
                 // A command that is still running ends its own processes on SIGTERM.
                 command.drain()
