Permit the runs of a content by one entry

Cause: a request that crashes backend servers was bounded by its known crashes only. Copies that ran at the same time each crashed a server before any crash was known, and two crashes in shared steps counted as one.

Ruled out: sending a content to one head from its first crash on, which acts too late for copies that run already; sending every content to one head from the start, which gives up the choice by load, zone and speed; a bound inside of each entry, which grows with the number of entries.

A crash has an id, given by the stage that lost its engine, and counts once however many streams and entries report it. An isolated run that is answered clears the crashes at all entries, not only at its own. A request that ended in a crash stays isolated in its later attempts.

The event stage_fault has the field crash_id in place of crashed.

--- a/api/src/main/kotlin/org/jacinthlink/api/StageFault.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/StageFault.kt
@@ -6,6 +6,7 @@
  * Tells the head of [streams] that [stage] cannot be reached or failed (`POST /v1/faults`).
  *
  * @property backendServerCrashed True when the backend server broke the connection during a step.
+ * @property crashId Identifies the crash, which several heads may learn of; empty without a crash.
  */
 @Serializable
 data class StageFault(
@@ -13,7 +14,8 @@
     val stage: InstanceId,
     val reporter: InstanceId,
     val backendServerCrashed: Boolean,
-    val message: String
+    val message: String,
+    val crashId: String = ""
 )
 
 /**
--- a/api/src/main/kotlin/org/jacinthlink/api/StreamEvent.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/StreamEvent.kt
@@ -26,7 +26,11 @@
     @SerialName("end")
     data class End(val reason: String, val tokenCount: Int) : StreamEvent
 
-    /** The stream was refused or failed; [notRun] is true only if no layer ran. */
+    /**
+     * The stream was refused or failed; [notRun] is true only if no layer ran.
+     *
+     * @property crashId Identifies the crash of the backend server, so that it is counted once.
+     */
     @Serializable
     @SerialName("refused")
     data class Refused(
@@ -34,6 +38,7 @@
         val message: String,
         val notRun: Boolean,
         val retryAfterMs: Long = 0,
-        val backendServerCrashed: Boolean = false
+        val backendServerCrashed: Boolean = false,
+        val crashId: String = ""
     ) : StreamEvent
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/quarantine/CrashSuspects.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/quarantine/CrashSuspects.kt
@@ -3,36 +3,51 @@
 /**
  * Crashes of backend servers by the fingerprint of the requests that they ran.
  *
- * @property crashTimesMs Times of the unexpired crashes of each fingerprint, oldest first.
+ * @property crashes Crashes counted for each fingerprint, oldest first.
  */
-data class CrashSuspects(val crashTimesMs: Map<String, List<Long>> = emptyMap())
+data class CrashSuspects(val crashes: Map<String, List<KnownCrash>> = emptyMap())
 
-/** Adds a crash at [nowMs] for each of [fingerprints], the requests that ran in the batch. */
+/**
+ * Adds [crash] for [fingerprint], unless it is known already by its id.
+ *
+ * A crash in a shared step may be due to another request. Several copies of a harmless content may
+ * each share a step with one that crashes, so at most one crash in a shared step counts.
+ */
 fun recordCrash(
     suspects: CrashSuspects,
-    fingerprints: Collection<String>,
-    nowMs: Long,
+    fingerprint: String,
+    crash: KnownCrash,
     limits: CrashLimits = CrashLimits()
 ): CrashSuspects {
-    val added =
-        fingerprints.toSet().associateWith { fingerprint ->
-            (suspects.crashTimesMs[fingerprint].orEmpty() + nowMs)
-                .takeLast(limits.refusedAtCrashes)
-        }
-    val unexpired =
-        (suspects.crashTimesMs + added).filterValues { !isExpired(it.last(), nowMs, limits) }
-    val kept =
-        if (unexpired.size <= limits.maxFingerprints) {
-            unexpired
-        } else {
-            unexpired.entries
-                .sortedBy { it.value.last() }
-                .takeLast(limits.maxFingerprints)
-                .associate { it.toPair() }
-        }
-    return CrashSuspects(kept)
+    val known = crashesOf(suspects, fingerprint, crash.atMs, limits)
+    val isCounted =
+        known.none { it.id == crash.id } && (crash.isolated || known.all { it.isolated })
+    if (!isCounted) return suspects
+    val added = suspects.crashes + (fingerprint to known + crash)
+    val kept = added.filterValues { !isExpired(it.last(), crash.atMs, limits) }
+    return CrashSuspects(newest(kept, limits.maxFingerprints))
 }
 
+/** Removes the crashes of [fingerprint] that have one of [crashIds]. */
+fun clearCrashes(
+    suspects: CrashSuspects,
+    fingerprint: String,
+    crashIds: Set<String>
+): CrashSuspects {
+    val left = suspects.crashes[fingerprint].orEmpty().filter { it.id !in crashIds }
+    val others = suspects.crashes - fingerprint
+    return CrashSuspects(if (left.isEmpty()) others else others + (fingerprint to left))
+}
+
+/** Crashes that count for [fingerprint]. */
+fun crashesOf(
+    suspects: CrashSuspects,
+    fingerprint: String,
+    nowMs: Long,
+    limits: CrashLimits = CrashLimits()
+): List<KnownCrash> =
+    suspects.crashes[fingerprint].orEmpty().filter { !isExpired(it, nowMs, limits) }
+
 /** Says how a request with [fingerprint] may run. */
 fun runMode(
     suspects: CrashSuspects,
@@ -40,8 +55,7 @@
     nowMs: Long,
     limits: CrashLimits = CrashLimits()
 ): RunMode {
-    val crashes =
-        suspects.crashTimesMs[fingerprint].orEmpty().count { !isExpired(it, nowMs, limits) }
+    val crashes = crashesOf(suspects, fingerprint, nowMs, limits).size
     return when {
         crashes >= limits.refusedAtCrashes -> RunMode.REFUSED
         crashes > 0 -> RunMode.ISOLATED
@@ -49,5 +63,15 @@
     }
 }
 
-private fun isExpired(crashedAtMs: Long, nowMs: Long, limits: CrashLimits) =
-    nowMs - crashedAtMs >= limits.expiryMs
+private fun newest(crashes: Map<String, List<KnownCrash>>, count: Int) =
+    if (crashes.size <= count) {
+        crashes
+    } else {
+        crashes.entries
+            .sortedBy { it.value.last().atMs }
+            .takeLast(count)
+            .associate { it.toPair() }
+    }
+
+private fun isExpired(crash: KnownCrash, nowMs: Long, limits: CrashLimits) =
+    nowMs - crash.atMs >= limits.expiryMs
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryContext.kt
@@ -46,6 +46,9 @@
     /** For short calls beside requests, as probes. */
     val background = boundedExecutor(scope, "background", threads = 16, queued = 512)
 
+    /** For questions to other entries on the runs of a content, for which requests wait. */
+    val permits = boundedExecutor(scope, "permits", threads = 16, queued = 512)
+
     /** For calls to heads that may be dead, which must not hold up the probes. */
     val cancels = boundedExecutor(scope, "cancels", threads = 8, queued = 256)
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryServer.kt
@@ -14,6 +14,7 @@
 import org.jacinthlink.entry.calls.SERVICES_PREFIX
 import org.jacinthlink.entry.chat.CRASHES_PATH
 import org.jacinthlink.entry.chat.ChatService
+import org.jacinthlink.entry.chat.PERMITS_PREFIX
 import org.jacinthlink.entry.heads.HeadDirectory
 import org.jacinthlink.runtime.http.errorResponse
 
@@ -41,6 +42,7 @@
             path == CHAT_PATH -> withId { chat(request, it) }
             path.startsWith(SERVICES_PREFIX) -> withId { calls.handle(request, it) }
             path == CRASHES_PATH -> chat.handleCrashes(request)
+            path.startsWith(PERMITS_PREFIX) -> chat.handlePermits(request)
             path == FIGURES_PATH -> admin.ownFigures()
             path.startsWith(ADMIN_PREFIX) -> admin.handle(request)
             else -> errorResponse(ResultCode.NOT_FOUND, "no route $path")
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatParts.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatParts.kt
@@ -16,7 +16,8 @@
     val context: EntryContext,
     val heads: HeadDirectory,
     val retries: RetryAccount,
-    val crashes: CrashRegister
+    val crashes: CrashRegister,
+    val permits: ContentPermits
 ) {
     /** Opens the stream of [attempt] on a connection of its own. */
     fun open(
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -24,6 +24,10 @@
     private var attemptCount = 0
     private var wasAccepted = false
     private var isolated = false
+    private var hasCrashed = false
+    private var permit: RunMode? = null
+    private var isAskingPermit = false
+    private var isWaitingForPermit = false
     private var firstTokenMs: Long? = null
     private var lastTokenAtMs = 0L
 
@@ -43,7 +47,7 @@
         val current = attempt
         when {
             done -> Unit
-            current == null -> if (search.isWaiting) dispatch()
+            current == null -> if (search.isWaiting || isWaitingForPermit) dispatch()
             nowMs - current.lastLineAtMs > SILENCE_MS -> {
                 parts.heads.suspect(current.head)
                 onBroken(current, AttemptEnd(AttemptFate.UNKNOWN, "silent for $SILENCE_MS ms"))
@@ -128,7 +132,8 @@
         }
         leave(attempt)
         parts.heads.failures.succeeded(attempt.head.instance)
-        if (isolated) parts.crashes.cleared(job.chat.fingerprint)
+        if (isolated) parts.crashes.cleared(job.chat.fingerprint, now())
+        parts.permits.answered(job.chat.fingerprint)
         responder.end(event.reason, tokens.size)
         finish(null)
     }
@@ -141,7 +146,9 @@
         if (!event.backendServerCrashed) {
             return onBroken(attempt, AttemptEnd(fate, event.message, event))
         }
-        val crash = SeenCrash(job.chat.fingerprint, isolated)
+        val crash = SeenCrash(job.chat.fingerprint, isolated, crashId(attempt, event))
+        hasCrashed = true
+        permit = null
         if (parts.crashes.crashed(crash, now()) == RunMode.REFUSED) {
             ends += AttemptEnd(fate, event.message, event)
             leave(attempt)
@@ -151,6 +158,10 @@
         }
     }
 
+    // Sidecars of earlier versions send no id.
+    private fun crashId(attempt: ChatAttempt, event: StreamEvent.Refused) =
+        event.crashId.ifEmpty { "${job.requestId.value}/${attempt.number}" }
+
     private fun quarantine() {
         val fingerprint = job.chat.fingerprint
         parts.crashes.quarantine(fingerprint, job.requestId, now()) {
@@ -188,8 +199,9 @@
         if (remainingMs <= 0) return fail(tooLate())
         val mode = parts.crashes.mode(job.chat.fingerprint, now())
         if (mode == RunMode.REFUSED) return fail(quarantined())
+        val permitted = permit ?: return askPermit()
         val head = search.next(now()) ?: return waitForHead()
-        isolated = mode == RunMode.ISOLATED
+        isolated = hasCrashed || RunMode.ISOLATED in setOf(mode, permitted)
         val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
         attempt = next
         parts.heads.loads.sent(head.instance)
@@ -207,6 +219,34 @@
         next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
     }
 
+    private fun askPermit() {
+        if (isAskingPermit) return
+        isAskingPermit = true
+        isWaitingForPermit = false
+        parts.permits.request(job.chat.fingerprint, job.requestId, ::onPermit)
+    }
+
+    @Synchronized
+    private fun onPermit(mode: RunMode) {
+        isAskingPermit = false
+        when {
+            done -> Unit
+            mode == RunMode.REFUSED -> quarantine()
+            mode == RunMode.WAITING -> waitForPermit()
+            else -> {
+                permit = mode
+                dispatch()
+            }
+        }
+    }
+
+    private fun waitForPermit() {
+        isWaitingForPermit = true
+        if (wasAccepted && !mayWaitForProgress()) {
+            fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+        }
+    }
+
     private fun waitForHead() {
         val isOver =
             if (wasAccepted) {
@@ -241,6 +281,7 @@
             parts.cancel(it, job.requestId)
         }
         done = true
+        parts.permits.ended(job.chat.fingerprint, job.requestId)
         record("caller_gone", "tokens" to tokens.size, "attempts" to attemptCount)
         context.metrics.callerGone(className(), attemptCount)
         onDone()
@@ -258,6 +299,7 @@
 
     private fun finish(failure: ChatFailure?) {
         done = true
+        parts.permits.ended(job.chat.fingerprint, job.requestId)
         record(
             "request_ended",
             "code" to (failure?.code ?: "OK"),
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -28,7 +28,9 @@
     private val retries: RetryAccount
 ) {
     private val crashes = CrashRegister(context)
-    private val parts = ChatParts(context, heads, retries, crashes)
+    private val permits = ContentPermits(context, crashes)
+    private val permitRoutes = PermitRoutes(permits)
+    private val parts = ChatParts(context, heads, retries, crashes, permits)
     private val relays = ConcurrentHashMap.newKeySet<ChatRelay>()
     private val watchdogGate = IdleGate { relays.isNotEmpty() }
 
@@ -54,6 +56,9 @@
             errorResponse(ResultCode.MALFORMED_REQUEST, "not a crash notice")
         }
 
+    /** Answers another entry about the runs of a content. */
+    fun handlePermits(request: Request): Response = permitRoutes.handle(request)
+
     fun handle(request: Request, requestId: RequestId): Response =
         when (val accepted = accept(request, requestId)) {
             is Success -> relay(accepted.value)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashRegister.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashRegister.kt
@@ -8,7 +8,10 @@
 import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.Success
 import org.jacinthlink.decision.quarantine.CrashSuspects
+import org.jacinthlink.decision.quarantine.KnownCrash
 import org.jacinthlink.decision.quarantine.RunMode
+import org.jacinthlink.decision.quarantine.clearCrashes
+import org.jacinthlink.decision.quarantine.crashesOf
 import org.jacinthlink.decision.quarantine.recordCrash
 import org.jacinthlink.decision.quarantine.runMode
 import org.jacinthlink.entry.EntryContext
@@ -47,26 +50,35 @@
         return runMode(noticed(listOf(crash), nowMs), crash.fingerprint, nowMs)
     }
 
-    /**
-     * Notes crashes, of this entry or of another one.
-     *
-     * One crash ends all requests of a batch, and several of them may have the same content. So
-     * only a crash of an isolated request counts beside an earlier one.
-     */
+    /** Notes crashes, of this entry or of another one. */
     fun noticed(crashes: List<SeenCrash>, nowMs: Long): CrashSuspects =
         suspects.updateAndGet { known ->
-            val counted = crashes.filter {
-                it.isolated || runMode(known, it.fingerprint, nowMs) == RunMode.NORMAL
-            }
-            recordCrash(known, counted.map { it.fingerprint }, nowMs)
+            crashes.fold(known) { sum, crash -> noticed(sum, crash, nowMs) }
+        }
+
+    private fun noticed(known: CrashSuspects, crash: SeenCrash, nowMs: Long): CrashSuspects =
+        if (crash.cleared) {
+            clearCrashes(known, crash.fingerprint, setOf(crash.crashId))
+        } else {
+            val added = KnownCrash(crash.crashId, nowMs, crash.isolated)
+            recordCrash(known, crash.fingerprint, added)
         }
 
+    /** Crashes that count for [fingerprint]. */
+    fun known(fingerprint: String, nowMs: Long): List<SeenCrash> =
+        crashesOf(suspects.get(), fingerprint, nowMs)
+            .map { SeenCrash(fingerprint, it.isolated, it.id) }
+
     /** Notes that an isolated request ended well, so that it was not the cause of a crash. */
-    fun cleared(fingerprint: String) = forget(setOf(fingerprint))
+    fun cleared(fingerprint: String, nowMs: Long) {
+        val cleared = known(fingerprint, nowMs).map { it.copy(cleared = true) }
+        cleared.forEach(broadcast::add)
+        noticed(cleared, nowMs)
+    }
 
     private fun forget(released: Set<String>) {
         if (released.isEmpty()) return
-        suspects.updateAndGet { CrashSuspects(it.crashTimesMs - released) }
+        suspects.updateAndGet { CrashSuspects(it.crashes - released) }
         released.forEach { pending.remove(it) }
     }
 
@@ -82,7 +94,7 @@
     ) {
         val change =
             ConfigurationChange.Quarantine(UUID.randomUUID().toString(), fingerprint, nowMs)
-        pending[fingerprint] = change
+        if (pending.putIfAbsent(fingerprint, change) != null) return onWritten()
         val queued =
             context.background.tryExecute {
                 write(change, requestId)
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/AccessSpec.kt
@@ -25,6 +25,8 @@
                 "GET /v1/events",
                 "POST /v1/drain",
                 "POST /v1/crashes",
+                "POST /v1/permits/ask",
+                "POST /v1/permits/runs",
                 "POST /v1/streams",
                 "GET /v1/load",
                 "POST /v1/hops",
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -201,7 +201,7 @@
             when {
                 isAffected != true -> Unit
                 fault.backendServerCrashed ->
-                    end(key, failed(fault.message, crashed = true), "backend_server_crashed")
+                    end(key, crashed(fault), "backend_server_crashed")
                 fault.stage == self.instance -> end(key, failed(fault.message), "stage_failed")
                 else -> onStagesFailed(key, setOf(fault.stage))
             }
@@ -320,13 +320,11 @@
     private fun refused(code: ResultCode, message: String, retryAfterMs: Long = 0) =
         StreamEvent.Refused(code, message, notRun = true, retryAfterMs = retryAfterMs)
 
-    private fun failed(message: String, crashed: Boolean = false) =
-        StreamEvent.Refused(
-            ResultCode.STREAM_FAILED,
-            message,
-            notRun = false,
-            backendServerCrashed = crashed
-        )
+    private fun failed(message: String) =
+        StreamEvent.Refused(ResultCode.STREAM_FAILED, message, notRun = false)
+
+    private fun crashed(fault: StageFault) =
+        failed(fault.message).copy(backendServerCrashed = true, crashId = fault.crashId)
 
     private companion object {
         const val REASON_LENGTH = "length"
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.sidecar.stage
 
+import java.util.UUID
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.locks.ReentrantLock
@@ -133,8 +134,8 @@
         when (val result = engine.step(inputs)) {
             is EngineResult.Done -> complete(result.value)
             is EngineResult.Refused -> refused(inputs, result.message)
-            is EngineResult.NotSent -> lost(inputs, crashed = false, result.message)
-            is EngineResult.Broken -> lost(inputs, crashed = true, result.message)
+            is EngineResult.NotSent -> lost(inputs, crashId = "", result.message)
+            is EngineResult.Broken -> lost(inputs, UUID.randomUUID().toString(), result.message)
         }
     }
 
@@ -154,9 +155,9 @@
         report(lock.withLock { listOfNotNull(state.lose(stream, message)) })
     }
 
-    private fun lost(inputs: List<EngineInput>, crashed: Boolean, message: String) {
+    private fun lost(inputs: List<EngineInput>, crashId: String, message: String) {
         val stepped = inputs.map { it.stream }.toSet()
-        report(lock.withLock { state.loseAll(stepped, crashed, message) })
+        report(lock.withLock { state.loseAll(stepped, crashId, message) })
     }
 
     private fun sendReady() {
@@ -225,15 +226,16 @@
                     notice.streams,
                     notice.stage,
                     self.instance,
-                    notice.backendServerCrashed,
-                    notice.message
+                    notice.crashId.isNotEmpty(),
+                    notice.message,
+                    notice.crashId
                 )
             events.record(
                 "stage_fault",
                 notice.streams.singleOrNull()?.requestId,
                 "stage" to notice.stage.value,
                 "streams" to notice.streams.size,
-                "crashed" to notice.backendServerCrashed,
+                "crash_id" to notice.crashId.ifEmpty { null },
                 "message" to notice.message
             )
             if (notice.headAddress == self.address) {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -95,21 +95,24 @@
         if (stream.retentionDropped) trim(stream)
     }
 
-    /** Frees all streams after the engine lost them; [stepped] were in the step that broke. */
-    fun loseAll(stepped: Set<StreamKey>, crashed: Boolean, message: String): List<StageNotice> {
+    /**
+     * Frees all streams after the engine lost them.
+     *
+     * @param stepped Streams of the step that broke.
+     * @param crashId Identifies the crash; empty if the engine did not crash in the step.
+     */
+    fun loseAll(stepped: Set<StreamKey>, crashId: String, message: String): List<StageNotice> {
         val lost = streams.values.toList()
         lost.forEach { remove(it.key) }
         return lost
-            .groupBy { it.headAddress to (crashed && it.key in stepped) }
+            .groupBy { it.headAddress to (if (it.key in stepped) crashId else "") }
             .map { (group, members) ->
                 StageNotice(
                     group.first,
-                    members.map {
-                        it.key
-                    },
+                    members.map { it.key },
                     self.instance,
-                    group.second,
-                    message
+                    message,
+                    group.second
                 )
             }
     }
@@ -117,7 +120,7 @@
     /** Frees one stream that the engine refuses. */
     fun lose(stream: StreamKey, message: String): StageNotice? =
         remove(stream)?.let {
-            StageNotice(it.headAddress, listOf(stream), self.instance, false, message)
+            StageNotice(it.headAddress, listOf(stream), self.instance, message)
         }
 
     /** Next stages for which outputs wait. */
@@ -197,7 +200,7 @@
     private fun suspend(stream: StageStream, message: String): StageNotice {
         stream.suspended = true
         val failed = stream.next?.instance ?: self.instance
-        return StageNotice(stream.headAddress, listOf(stream.key), failed, false, message)
+        return StageNotice(stream.headAddress, listOf(stream.key), failed, message)
     }
 
     /** Suspends all streams whose next stage is [stage], because it did not answer. */
@@ -208,7 +211,7 @@
         val affected = streams.values.filter { it.next?.instance == stage && !it.suspended }
         affected.forEach { it.suspended = true }
         return affected.groupBy { it.headAddress }.map { (head, members) ->
-            StageNotice(head, members.map { it.key }, stage, false, message)
+            StageNotice(head, members.map { it.key }, stage, message)
         }
     }
 
