Tell entries that drain of crashes

Cause: crash notices went to the entries that take new work. An entry that drains still serves its open streams and retries them, by the crashes that it saw itself.

Ruled out: waiting for the permit of the next attempt, which brings the crashes that the home knows, but not while the home cannot be asked.

Notices now go to all entries that described themselves once. Those that are unreachable are told by the executor for calls to instances that may be dead.

Before: no notice (the new test in ChatSpec failed). After: both crashes are told: mvn -B -ntp -q -o test -pl entry -am -Dtest='*ChatSpec' \ -Dsurefire.failIfNoSpecifiedTests=false

Conclusion: an entry that drains counts the crashes of all entries.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashBroadcast.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/CrashBroadcast.kt
@@ -6,10 +6,13 @@
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.tryExecute
 import org.jacinthlink.runtime.http.PeerCall
+import org.jacinthlink.runtime.membership.MemberState
 
 /**
  * Tells all other entries of crashes, so that a caller who retries at another entry does not start
  * the count anew. Crashes of one batch share a notice.
+ *
+ * An entry that drains, or that could not be reached a moment ago, may still retry open streams.
  */
 internal class CrashBroadcast(private val context: EntryContext) {
     private val waiting = LinkedBlockingQueue<SeenCrash>()
@@ -26,17 +29,20 @@
         val crashes = taken.distinct()
         val body =
             ProtocolJson.encodeToString(CrashNotice.serializer(), CrashNotice(crashes))
-        context.membership.instances()
-            .map { it.description }
-            .filter { it.role == Role.ENTRY && it.instance != context.instance }
-            .forEach { peer ->
-                context.background.tryExecute {
+        context.membership.members().forEach { member ->
+            val peer = member.known?.description
+            if (peer?.role == Role.ENTRY && peer.instance != context.instance) {
+                executorFor(member.state).tryExecute {
                     val call = PeerCall("POST", "http://${peer.address}$CRASHES_PATH", body)
                     context.peerClient.call(call, TIMEOUT_MS)
                 }
             }
+        }
     }
 
+    private fun executorFor(state: MemberState) =
+        if (state == MemberState.UNREACHABLE) context.cancels else context.background
+
     private companion object {
         const val INTERVAL_MS = 50L
         const val TIMEOUT_MS = 500L
--- a/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -179,6 +179,20 @@
                 }
             }
 
+            // Guards against an entry that drains and retries a stream that crashed two servers.
+            it("tells an entry that drains of a crash") {
+                fixture {
+                    drainingEntry("leaving")
+                    head("h1", refused(ResultCode.STREAM_FAILED, false, crashed = true))
+                    post(CHAT, BODY).code() shouldBe ResultCode.QUARANTINED.number
+                    val seen = opened.first().fingerprint
+                    eventually(5.seconds) {
+                        called.filter { it.startsWith("leaving /v1/crashes") }
+                            .sumOf { Regex(seen).findAll(it).count() } shouldBe 2
+                    }
+                }
+            }
+
             // Guards against heads that go on generating for a caller who has left.
             it("ends at its head when the caller goes away") {
                 fixture {
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -47,6 +47,7 @@
     private val known = CopyOnWriteArrayList<KnownInstance>()
     private val listeners = CopyOnWriteArrayList<() -> Unit>()
     private val unreachable = CopyOnWriteArrayList<KnownInstance>()
+    private val drainingEntries = CopyOnWriteArrayList<KnownInstance>()
 
     override fun instances(): List<KnownInstance> = known.toList()
 
@@ -54,7 +55,8 @@
 
     override fun members(): List<KnownMember> =
         known.map { KnownMember(listed(it), it, MemberState.AVAILABLE) } +
-            unreachable.map { KnownMember(listed(it), it, MemberState.UNREACHABLE) }
+            unreachable.map { KnownMember(listed(it), it, MemberState.UNREACHABLE) } +
+            drainingEntries.map { KnownMember(listed(it), it, MemberState.DRAINING) }
 
     private fun listed(known: KnownInstance) =
         known.description.let {
@@ -90,6 +92,13 @@
         listeners.forEach { it() }
     }
 
+    fun addDrainingEntry(id: String, port: Int) {
+        val address = "127.0.0.1:$port"
+        val description =
+            InstanceDescription(InstanceId(id), Role.ENTRY, address, "a", 0, draining = true)
+        drainingEntries += KnownInstance(description, 0)
+    }
+
     private fun remove(instance: InstanceId) {
         known.removeIf { it.description.instance == instance }
         listeners.forEach { it() }
@@ -174,6 +183,16 @@
         membership.add(id, server.port, Holding.Stage("m", 0, 2, 2, 100.0))
     }
 
+    /** Adds another entry that drains; its paths and bodies go to [called]. */
+    fun drainingEntry(id: String) {
+        val server = startHttpServer("127.0.0.1", 0, ServerLimits()) { request ->
+            called += "$id ${request.uri.path} ${request.bodyString()}"
+            Response(Status.NO_CONTENT)
+        }
+        servers += server
+        membership.addDrainingEntry(id, server.port)
+    }
+
     /** Adds a sidecar of service `ledger`; a null answer breaks the call. */
     fun sidecar(id: String, answer: (String) -> CallAnswer?) =
         membership.add(id, sidecarAt(id, 0, answer), Holding.Service("ledger"))
