Test a request that crashes engines of a middle stage

Cause: crashes behind the head were not proved. The fault takes another way to the head there, and the stage before may report the loss as well.

The engine stand-in now compares crashWord with any input, so that the activation of one prompt at a layer crashes a middle stage. The new test sends such a prompt beside twelve streams whose slowest stage is the middle one. It guards against crashes that are not counted, and against streams of the same step that are refused.

Ruled out: sending all copies at once in this test. An isolated copy may then crash the engine first, so that a crash in a shared step is not certain.

--- a/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/site/SitePlan.kt
@@ -8,7 +8,7 @@
  * A whole system with stand-ins for everything outside it, on one machine.
  *
  * @property isProxied True to put a fault proxy in front of each daemon.
- * @property crashWord Prompt token that crashes each engine that runs it.
+ * @property crashWord Prompt token or activation that crashes each engine that takes it as input.
  */
 data class SitePlan(
     val entries: Int,
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import java.util.concurrent.CompletableFuture
@@ -14,6 +15,7 @@
 import org.jacinthlink.cli.site.StagePlan
 import org.jacinthlink.cli.site.demoPlan
 import org.jacinthlink.standins.EngineSpeed
+import org.jacinthlink.standins.referenceActivation
 import org.jacinthlink.standins.referenceAnswer
 
 private const val LAYERS = 12
@@ -35,6 +37,28 @@
     return demoPlan().copy(pipelines = pipelines, services = emptyList(), crashWord = CRASH_WORD)
 }
 
+/** Two pipelines whose middle stage is the slowest, so that streams share its steps. */
+private fun slowMiddles(crashWord: String): SitePlan {
+    fun stage(zone: String, firstLayer: Int, stepMs: Double) =
+        StagePlan(zone, firstLayer, firstLayer + 4, EngineSpeed(stepMs), 1_000 / stepMs)
+
+    val zones = demoPlan().zones
+    val stages = listOf(stage(zones[0], 0, 2.0), stage(zones[1], 4, 15.0), stage(zones[2], 8, 2.0))
+    val pipelines = List(2) { PipelinePlan(DEMO_MODEL, stages, maxRunningStreams = 16) }
+    return demoPlan()
+        .copy(pipelines = pipelines, services = emptyList(), crashWord = crashWord)
+}
+
+/** Largest number of streams in a step in which the engine of the process crashed. */
+private fun JvmProcess.largestCrashedStep(): Int =
+    logFile.readLines()
+        .filter { "event=stage_fault " in it }
+        .groupBy({ it.field("crash_id") }, { it.field("streams").toInt() })
+        .filterKeys { it != "null" }
+        .maxOf { it.value.sum() }
+
+private fun String.field(name: String) = substringAfter(" $name=").substringBefore(' ')
+
 private fun ProcessSite.startBystanders(count: Int): List<Pair<Question, StreamedAnswer>> =
     List(count) { Question("harmless $it", maxTokens = 80, workClass = "summary") }
         .mapIndexed { index, question -> question to caller(index % 2).stream(question) }
@@ -72,5 +96,27 @@
                     bystanders.shouldBeWhole()
                 }
             }
+            // Guards against crashes behind the head that are not counted, or that are laid to the
+            // streams of the same step.
+            it("crashes two middle stages at most, and streams of the same steps are answered") {
+                val poison = Question("please stop", maxTokens = 5, workClass = "summary")
+                val activation = referenceActivation(DEMO_MODEL, 4, poison.promptTokens)
+                ProcessSite(slowMiddles(activation)).start().use { fleet ->
+                    val bystanders = fleet.startBystanders(12)
+                    val first = fleet.sendAtOnce(poison, copies = 1)
+                    val codes = first + fleet.sendAtOnce(poison, copies = 4)
+                    val crashed = fleet.site.stages.filter { it.engine.crashes > 0 }
+                    withClue("crashes, codes $codes") {
+                        crashed.sumOf { it.engine.crashes } shouldBeLessThanOrEqual 2
+                    }
+                    crashed.map { it.holding.firstLayer }.toSet() shouldBe setOf(4)
+                    codes.toSet() shouldBe setOf(ResultCode.QUARANTINED)
+                    crashed.maxOf {
+                        fleet.process(it.name).largestCrashedStep()
+                    } shouldBeGreaterThan
+                        1
+                    bystanders.shouldBeWhole()
+                }
+            }
         }
     })
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineComputation.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineComputation.kt
@@ -27,6 +27,16 @@
     return List(tokenCount) { sampleToken(last).also { last = run(it) } }
 }
 
+/** Output of the first [layerCount] layers of a model at the last one of [tokens]. */
+fun referenceActivation(model: String, layerCount: Int, tokens: List<String>): String {
+    val previous = arrayOfNulls<String>(layerCount)
+    return tokens.map { token ->
+        (0 until layerCount).fold(token) { input, layer ->
+            layerOutput(model, layer, input, previous[layer]).also { previous[layer] = it }
+        }
+    }.last()
+}
+
 /**
  * Output of [layer] for [input]. [previous] is the layer's output at the previous position, which
  * is all that the KV state of a stream holds.
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineSettings.kt
@@ -8,7 +8,8 @@
  *
  * @property initial Layers that the engine holds after its start and after a crash.
  * @property checksFence True to refuse load orders with a fencing number below the highest seen.
- * @property crashWord Prompt token that makes the engine crash; only a first range sees it.
+ * @property crashWord Input of a position that makes the engine crash: a prompt token for a first
+ *   range, an activation for any other.
  * @property crashDownMs Time without service after a crash; null to exit the process.
  * @property loadReportLagMs Age of the load report.
  * @property historyRequests Number of latest requests whose executions are kept.
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineState.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineState.kt
@@ -39,9 +39,7 @@
         val order = held ?: return StepCheck.Refused("no layers are loaded")
         val expected = HashMap<StreamKey, Int>()
         for (item in items) {
-            if (order.firstLayer == 0 && item.payloads.any { it.trim() == settings.crashWord }) {
-                return StepCheck.Crash
-            }
+            if (item.payloads.any { it.trim() == settings.crashWord }) return StepCheck.Crash
             val next = expected[item.stream] ?: streams[item.stream]?.nextPosition ?: 0
             if (item.firstPosition != next || item.payloads.isEmpty()) {
                 orderViolations++
