--- a/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/ChatSpec.kt
@@ -182,7 +182,7 @@
             // Guards against an entry that drains and retries a stream that crashed two servers.
             it("tells an entry that drains of a crash") {
                 fixture {
-                    drainingEntry("leaving")
+                    entryPeer("leaving", draining = true)
                     head("h1", refused(ResultCode.STREAM_FAILED, false, crashed = true))
                     post(CHAT, BODY).code() shouldBe ResultCode.QUARANTINED.number
                     val seen = opened.first().fingerprint
@@ -193,6 +193,20 @@
                 }
             }
 
+            // Guards against requests that wait for an entry that is frozen.
+            it("is answered in target while the home of its content is silent") {
+                fixture {
+                    entryPeer("silent", delayMs = 3_000)
+                    head("h1", ::resume)
+                    (0 until 20).forEach { index ->
+                        val body = BODY.replace("say it", "say $index")
+                        val headers = mapOf("x-jacinthlink-class" to "brief")
+                        post(CHAT, body, headers).status shouldBe 200
+                    }
+                    called.count { it.startsWith("silent /v1/permits/ask") } shouldBe 1
+                }
+            }
+
             // Guards against heads that go on generating for a caller who has left.
             it("ends at its head when the caller goes away") {
                 fixture {
--- a/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
+++ b/entry/src/test/kotlin/org/jacinthlink/entry/Fakes.kt
@@ -92,11 +92,11 @@
         listeners.forEach { it() }
     }
 
-    fun addDrainingEntry(id: String, port: Int) {
+    fun addEntry(id: String, port: Int, draining: Boolean) {
         val address = "127.0.0.1:$port"
         val description =
-            InstanceDescription(InstanceId(id), Role.ENTRY, address, "a", 0, draining = true)
-        drainingEntries += KnownInstance(description, 0)
+            InstanceDescription(InstanceId(id), Role.ENTRY, address, "a", 0, draining = draining)
+        (if (draining) drainingEntries else known) += KnownInstance(description, 0)
     }
 
     private fun remove(instance: InstanceId) {
@@ -183,14 +183,15 @@
         membership.add(id, server.port, Holding.Stage("m", 0, 2, 2, 100.0))
     }
 
-    /** Adds another entry that drains; its paths and bodies go to [called]. */
-    fun drainingEntry(id: String) {
+    /** Adds another entry that answers after [delayMs]; its paths and bodies go to [called]. */
+    fun entryPeer(id: String, draining: Boolean = false, delayMs: Long = 0) {
         val server = startHttpServer("127.0.0.1", 0, ServerLimits()) { request ->
             called += "$id ${request.uri.path} ${request.bodyString()}"
+            Thread.sleep(delayMs)
             Response(Status.NO_CONTENT)
         }
         servers += server
-        membership.addDrainingEntry(id, server.port)
+        membership.addEntry(id, server.port, draining)
     }
 
     /** Adds a sidecar of service `ledger`; a null answer breaks the call. */
