Bound the questions for permits of new contents

Cause: a question for each new content costs about 14 KB/s at each entry at the target size (worked out), more than the 13 KB/s that a node may spend on control in all.

Ruled out: no questions before a first crash is known (four crashes of nine copies through two entries), and fewer homes (they would carry the questions of all entries).

Change: a token bucket of 3 questions a second with a burst of 32 at each entry. A request beyond it runs without a permit and is counted by jacinthlink.permits.skipped. Contents with a known crash always ask.

Before and after, worked out: 14 and 3.5 KB/s for each entry.

Conclusion: the bound of two crashes holds for copies at once while an entry gets a few new contents a second; above, it holds from the first known crash.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/EntryMetrics.kt
@@ -17,6 +17,7 @@
 ) {
     private val window = FiguresWindow()
     private val retries = meters.counter("jacinthlink.retries")
+    private val permitsSkipped = meters.counter("jacinthlink.permits.skipped")
     private val attempts = meters.summary("jacinthlink.attempts")
 
     /**
@@ -51,6 +52,9 @@
 
     fun retried() = retries.increment()
 
+    /** Counts a request that ran without a permit, because the budget of questions was used up. */
+    fun permitSkipped() = permitsSkipped.increment()
+
     fun firstToken(workClass: String, elapsedMs: Long) =
         meters.timer("jacinthlink.first.token", "class", workClass)
             .record(elapsedMs, TimeUnit.MILLISECONDS)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ContentPermits.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ContentPermits.kt
@@ -6,6 +6,7 @@
 import org.jacinthlink.decision.quarantine.ContentRun
 import org.jacinthlink.decision.quarantine.ContentRuns
 import org.jacinthlink.decision.quarantine.RunMode
+import org.jacinthlink.decision.routing.RetryBudget
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.tryExecute
 
@@ -15,7 +16,8 @@
  *
  * The home of a content, an entry chosen by rendezvous hash, permits its runs. It asks the entries
  * that hold earlier runs what became of them only when another copy arrives, so that a content sent
- * once costs one message. A content that was answered in full needs no permit for a while.
+ * once costs one message. A content that was answered in full needs no permit for a while, and the
+ * questions about contents without a known crash have a budget.
  */
 internal class ContentPermits(
     private val context: EntryContext,
@@ -25,6 +27,9 @@
 
     // Guarded by itself.
     private val runs = ContentRuns()
+
+    // Guarded by runs.
+    private var budget = questionBudget(now())
     private val open = ConcurrentHashMap.newKeySet<RequestId>()
 
     /** Asks how a request of this entry may run; [onPermit] may be called before the return. */
@@ -37,11 +42,21 @@
         when {
             wasAnswered(fingerprint) -> onPermit(RunMode.NORMAL)
             isLocal -> onPermit(permit(run))
+            !mayAsk(fingerprint) -> {
+                context.metrics.permitSkipped()
+                onPermit(RunMode.NORMAL)
+            }
             !context.permits.tryExecute { onPermit(permitOf(home, run)) } ->
                 onPermit(unpermitted(run, "too many questions wait"))
         }
     }
 
+    private fun mayAsk(fingerprint: String): Boolean {
+        val nowMs = now()
+        if (crashes.known(fingerprint, nowMs).isNotEmpty()) return true
+        return synchronized(runs) { budget.withdraw(nowMs)?.also { budget = it } != null }
+    }
+
     /** Notes that a request of this entry with [fingerprint] was answered in full. */
     fun answered(fingerprint: String) =
         synchronized(runs) { runs.answered(fingerprint, now()) }
@@ -120,4 +135,15 @@
     }
 
     private fun now() = context.clock.nowMs()
+
+    private companion object {
+        // A question and its answer are about 590 bytes at each of two entries. Three a second
+        // leave most of the 13 KB/s of a node to the other control traffic; a site of a few
+        // requests a second asks about each new content.
+        const val QUESTIONS_PER_SECOND = 3.0
+        const val BURST = 32.0
+
+        fun questionBudget(nowMs: Long) =
+            RetryBudget(BURST, nowMs, BURST, perRequest = 0.0, perSecond = QUESTIONS_PER_SECOND)
+    }
 }
