Hand the engine its next step while the former one ends

Cause: stages idled although streams waited for them. A count in the batch loop, on the flood of summaries of FloodSpec with builds beside (load average 22), gave 0.05 to 0.30 of the time without inputs at 60 to 138 streams in flight, and another 0.02 to 0.10 in the calls to the engine. Each stage took all streams that waited, up to the streams over the remaining stages, so they moved in convoys; the last stage had no limit at all.

Ruled out: more streams (the stages idled with 80 of them) and processor time of the heads (2% of the machine). A calculation of steps in a closed loop gave 0.81 of busy time for 47 streams and 3 stages, as seen; two steps without the rule on their size lose up to 40% on engines with a large fixed part.

Change: two steps at a time, of at most the streams over the stages plus one, the second only if it is that large. A hop item carries the number of stages. Streams are freed after the step that runs them; a crash makes suspects of the streams of both steps; a step that breaks after the engine was loaded again takes no streams with it. The age of a step counts from the engine's latest progress.

--- a/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/HopBatch.kt
@@ -17,6 +17,7 @@
  * @property isolated True when the stream must run without others in a step of the engine.
  * @property workClass Class of the stream, by which stages share their steps.
  * @property workspace Workspace of the stream, by which stages share their steps.
+ * @property stageCount Stages of the whole route, those before the receiver included.
  */
 @Serializable
 data class HopItem(
@@ -29,7 +30,8 @@
     val replay: Boolean = false,
     val isolated: Boolean = false,
     val workClass: String = "",
-    val workspace: WorkspaceId = WorkspaceId("")
+    val workspace: WorkspaceId = WorkspaceId(""),
+    val stageCount: Int = 1
 )
 
 /** One stage of a route. */
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/SidecarSettings.kt
@@ -70,6 +70,7 @@
 
 private fun Validation.checkStageLimits(limits: StageLimits) {
     inRange("stage.maxStepPositions", limits.maxStepPositions, 1..65_536)
+    inRange("stage.engineSteps", limits.engineSteps, 1..16)
     inRange("stage.prefillChunkPositions", limits.prefillChunkPositions, 1..65_536)
     inRange("stage.maxRetainedBytes", limits.maxRetainedBytes, 0L..1_099_511_627_776L)
     inRange("stage.maxMessageBytes", limits.maxMessageBytes, 1..524_288)
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
@@ -19,27 +19,45 @@
     private val clock: Clock,
     private val events: EventLog
 ) {
-    @Volatile
-    private var stepStartedMs = 0L
+    private val lock = Any()
+    private var stepsInProgress = 0
+    private var stepProgressMs = 0L
+    private var loads = 0L
 
     @Volatile
     var ready = false
         private set
 
-    /** True while the engine holds its layers and no step has taken longer than [stallMs]. */
+    /** True while the engine holds its layers and no step has stalled for longer than [stallMs]. */
     fun isServing(nowMs: Long, stallMs: Long): Boolean = ready && stepAgeMs(nowMs) <= stallMs
 
-    /** Age of the step in progress; 0 if there is none. */
-    fun stepAgeMs(nowMs: Long): Long = stepStartedMs.let { if (it == 0L) 0 else nowMs - it }
+    /** Time that the engine has worked on its present step; 0 if it has none. */
+    fun stepAgeMs(nowMs: Long): Long =
+        synchronized(lock) { if (stepsInProgress == 0) 0 else nowMs - stepProgressMs }
 
-    fun step(inputs: List<EngineInput>): EngineResult<List<EngineOutput>> {
-        stepStartedMs = clock.nowMs()
+    /**
+     * Runs a step. Several may be in progress, and the engine runs them one after the other.
+     *
+     * @return Null if the engine was lost and loaded again meanwhile: its streams are lost already.
+     */
+    fun step(inputs: List<EngineInput>): EngineResult<List<EngineOutput>>? {
+        val load = begin()
         val result = engine.step(inputs)
-        stepStartedMs = 0
-        if (result is EngineResult.Broken || result is EngineResult.NotSent) markLost("$result")
-        return result
+        return synchronized(lock) {
+            stepsInProgress--
+            stepProgressMs = clock.nowMs()
+            if (load != loads) return null
+            if (result is EngineResult.Broken || result is EngineResult.NotSent) markLost("$result")
+            result
+        }
     }
 
+    private fun begin(): Long =
+        synchronized(lock) {
+            if (stepsInProgress++ == 0) stepProgressMs = clock.nowMs()
+            loads
+        }
+
     fun release(stream: StreamKey) {
         engine.release(stream)
     }
@@ -51,11 +69,15 @@
     }
 
     /** Loads the layers if the engine answers. Returns true once the engine is ready. */
+    @Synchronized
     fun recover(): Boolean {
         if (ready) return true
         if (engine.load() !is EngineResult.Done) return false
         val result = order()
-        ready = result is EngineResult.Done
+        synchronized(lock) {
+            loads++
+            ready = result is EngineResult.Done
+        }
         if (ready) {
             events.record("engine_ready")
         } else {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -99,7 +99,8 @@
             headAddress = headAddress,
             isolated = open.isolated,
             workClass = open.workClass,
-            workspace = open.workspace
+            workspace = open.workspace,
+            stageCount = route.size
         )
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -25,9 +25,9 @@
     val ready: Boolean
         get() = engine.isServing(parts.clock.nowMs(), parts.headLimits.stepStallMs)
 
-    /** Starts the batch loop and the timers. */
+    /** Starts the batch loops and the timers. */
     fun start() {
-        parts.scope.run("batch-loop", runner::runLoop)
+        repeat(parts.stageLimits.engineSteps) { parts.scope.run("batch-loop-$it", runner::runLoop) }
         parts.scope.repeat("idle-streams", { parts.stageLimits.idleStreamMs / 4 }) {
             runner.releaseIdle(parts.clock.nowMs())
         }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageLimits.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageLimits.kt
@@ -13,6 +13,8 @@
  * @property acknowledgeTimeoutMs Time within which a peer confirms a message.
  * @property idleStreamMs Time without any message after which a stream's state is freed. It
  *   catches streams whose head died.
+ * @property engineSteps Steps that the engine has at the same time. It runs one after the other;
+ *   the next one waits there while the outputs of the former one are on their way.
  */
 @Serializable
 data class StageLimits(
@@ -21,5 +23,6 @@
     val maxRetainedBytes: Long = 67_108_864,
     val maxMessageBytes: Int = 262_144,
     val acknowledgeTimeoutMs: Long = 400,
-    val idleStreamMs: Long = 30_000
+    val idleStreamMs: Long = 30_000,
+    val engineSteps: Int = 2
 )
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -44,6 +44,9 @@
     private val state = StageState(self, limits)
     private val inFlight = HashMap<String, Int>()
 
+    // Streams of the calls to the engine that are in progress.
+    private val calling = HashSet<StreamKey>()
+
     /** Head of the streams that start here. Set once, before the first message. */
     @Volatile
     var localHead: StreamHead? = null
@@ -60,7 +63,7 @@
         val nowMs = clock.nowMs()
         val answers =
             lock.withLock {
-                batch.items.map { state.receive(it, nowMs) }.also { inputsReady.signal() }
+                batch.items.map { state.receive(it, nowMs) }.also { inputsReady.signalAll() }
             }
         sendReady()
         return HopAck(answers)
@@ -82,7 +85,7 @@
     fun release(streams: List<StreamKey>) {
         lock.withLock {
             streams.forEach(state::release)
-            inputsReady.signal()
+            inputsReady.signalAll()
         }
     }
 
@@ -101,17 +104,34 @@
         release(idle)
     }
 
-    /** Runs the batch loop until the thread is interrupted. */
+    /**
+     * Runs the batch loop until the thread is interrupted.
+     *
+     * [StageLimits.engineSteps] threads run it, so that the engine has its next step while the
+     * outputs of the former one are on their way.
+     */
     fun runLoop() {
         while (!Thread.currentThread().isInterrupted) {
             if (!engine.recover()) {
                 Thread.sleep(RECOVERY_INTERVAL_MS)
             } else {
-                runStep(awaitInputs())
+                val inputs = awaitInputs()
+                try {
+                    runStep(inputs)
+                } finally {
+                    endStep(inputs)
+                }
             }
         }
     }
 
+    private fun endStep(inputs: List<EngineInput>) =
+        lock.withLock {
+            state.endStep(inputs)
+            calling -= streamsOf(inputs)
+            inputsReady.signalAll()
+        }
+
     private fun awaitInputs(): List<EngineInput> =
         lock.withLock {
             while (true) {
@@ -124,21 +144,29 @@
             emptyList()
         }
 
-    // Called between two steps, so that no stream is freed while the engine runs it.
     private fun freeStreams() {
         val freed = state.takeFreed()
         if (freed.isNotEmpty()) execute { freed.forEach(engine::release) }
     }
 
     private fun runStep(inputs: List<EngineInput>) {
-        when (val result = engine.step(inputs)) {
+        when (val result = call(inputs)) {
             is EngineResult.Done -> complete(result.value)
             is EngineResult.Refused -> refused(inputs, result.message)
-            is EngineResult.NotSent -> lost(inputs, crashId = "", result.message)
-            is EngineResult.Broken -> lost(inputs, UUID.randomUUID().toString(), result.message)
+            is EngineResult.NotSent -> lost(crashId = "", result.message)
+            is EngineResult.Broken -> lost(UUID.randomUUID().toString(), result.message)
+            null -> Unit
         }
     }
 
+    private fun call(inputs: List<EngineInput>): EngineResult<List<EngineOutput>>? {
+        lock.withLock { calling += streamsOf(inputs) }
+        return engine.step(inputs)
+    }
+
+    private fun streamsOf(inputs: List<EngineInput>): Set<StreamKey> =
+        inputs.mapTo(HashSet()) { it.stream }
+
     private fun complete(outputs: List<EngineOutput>) {
         lock.withLock { state.completeStep(outputs, clock.nowMs()) }
         sendReady()
@@ -147,7 +175,11 @@
     // One bad input makes the engine refuse the whole step; run alone, only that one fails.
     private fun refused(inputs: List<EngineInput>, message: String) {
         if (inputs.size > 1) {
-            inputs.forEach { if (engine.ready) runStep(listOf(it)) }
+            lock.withLock { calling -= streamsOf(inputs) }
+            inputs.forEach {
+                if (engine.ready) runStep(listOf(it))
+                lock.withLock { calling -= it.stream }
+            }
             return
         }
         val stream = inputs.single().stream
@@ -155,10 +187,9 @@
         report(lock.withLock { listOfNotNull(state.lose(stream, message)) })
     }
 
-    private fun lost(inputs: List<EngineInput>, crashId: String, message: String) {
-        val stepped = inputs.map { it.stream }.toSet()
-        report(lock.withLock { state.loseAll(stepped, crashId, message) })
-    }
+    // Any of the calls in progress may have crashed the engine, whichever connection broke first.
+    private fun lost(crashId: String, message: String) =
+        report(lock.withLock { state.loseAll(calling.toSet(), crashId, message) })
 
     private fun sendReady() {
         val sends = ArrayList<() -> Unit>()
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -26,6 +26,7 @@
     private val streams = LinkedHashMap<StreamKey, StageStream>()
     private val refused = RefusedStreams(REFUSED_CAPACITY)
     private val freed = ArrayList<StreamKey>()
+    private val steps = ArrayList<Set<StreamKey>>()
     private val step = StageStep(limits)
     private var flights = 0L
     private var retainedBytes = 0L
@@ -67,9 +68,13 @@
 
     fun update(classes: Map<String, WorkClass>) = step.update(classes)
 
-    /** Inputs of the next step; empty if no stream has any. */
+    /** Inputs of the next step; empty if there is none. [endStep] ends it. */
     fun nextStep(): List<EngineInput> {
-        val selected = step.select(streams.values.filter { it.canStep }, streams.size)
+        if (steps.size >= limits.engineSteps) return emptyList()
+        val waiting = streams.values.filter { it.canStep }
+        val inProgress = steps.flatMap { it }.mapNotNull { streams[it] }
+        val selected = step.select(waiting, inProgress, streams.size)
+        if (selected.isNotEmpty()) steps += selected.map { it.stream }.toSet()
         // A stream that ran goes to the end, so that each prompt gets its turn.
         selected.forEach { input ->
             streams[input.stream] = streams.remove(input.stream)!!
@@ -77,7 +82,13 @@
         return selected
     }
 
-    /** Records the outputs of the step in progress. */
+    /** Ends the step of [inputs], whatever became of it. */
+    fun endStep(inputs: List<EngineInput>) {
+        val ended = inputs.map { it.stream }.toSet()
+        steps.remove(ended)
+    }
+
+    /** Records the outputs of a step in progress. */
     fun completeStep(outputs: List<EngineOutput>, nowMs: Long) {
         for (output in outputs) {
             val stream = streams[output.stream]
@@ -157,7 +168,8 @@
             replay = isReplay,
             isolated = stream.isolated,
             workClass = stream.workClass,
-            workspace = stream.workspace
+            workspace = stream.workspace,
+            stageCount = stream.stageCount
         )
     }
 
@@ -262,8 +274,16 @@
             StreamProgress(stream, it.epoch, it.received, it.ran, it.sendFrom, it.suspended)
         }
 
-    /** Streams removed since the last call, whose KV state the engine must free. */
-    fun takeFreed(): List<StreamKey> = freed.toList().also { freed.clear() }
+    /**
+     * Streams removed since the last call, whose KV state the engine must free. Those of a step in
+     * progress are freed after it.
+     */
+    fun takeFreed(): List<StreamKey> {
+        val (kept, taken) = freed.partition { stream -> steps.any { stream in it } }
+        freed.clear()
+        freed += kept
+        return taken
+    }
 
     // A stream never comes back to a stage that gave it up, but late messages of it may, and
     // would run its first positions again.
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
@@ -13,13 +13,21 @@
     fun update(classes: Map<String, WorkClass>) = scheduler.update(classes)
 
     /**
-     * Inputs for one step. An isolated stream runs alone.
+     * Inputs for one step; empty if there is none. An isolated stream runs alone.
      *
      * @param waiting Streams with pending inputs, the one that waits longest first.
+     * @param inProgress Streams of the steps that the engine has already.
      * @param streamCount All streams on this stage.
      */
-    fun select(waiting: Collection<StageStream>, streamCount: Int): List<EngineInput> {
+    fun select(
+        waiting: Collection<StageStream>,
+        inProgress: Collection<StageStream>,
+        streamCount: Int
+    ): List<EngineInput> {
         val first = waiting.firstOrNull() ?: return emptyList()
+        if (inProgress.isNotEmpty() && !isWorthQueueing(waiting, inProgress, streamCount)) {
+            return emptyList()
+        }
         if (first.isolated) return listOf(input(first, limits.maxStepPositions))
         val shared = waiting.filterNot { it.isolated }.associateBy { it.key }
         return scheduler
@@ -27,6 +35,17 @@
             .map { input(shared.getValue(it.stream), it.positions) }
     }
 
+    // A step behind another one hides the time of the calls. A small one would only add its fixed
+    // part, and its streams can join others until the engine is free.
+    private fun isWorthQueueing(
+        waiting: Collection<StageStream>,
+        inProgress: Collection<StageStream>,
+        streamCount: Int
+    ): Boolean =
+        waiting.none { it.isolated } &&
+            inProgress.none { it.isolated } &&
+            waiting.size >= decodeLimit(waiting.first(), streamCount)
+
     private fun bounds(waiting: Collection<StageStream>, streamCount: Int): StepBounds {
         val isPrefillOnly = waiting.size == streamCount && waiting.none { it.pending.size == 1 }
         // Streams that decode may be on another stage at the moment; they must find this one free
@@ -39,9 +58,9 @@
     }
 
     // Each stream is on one stage at a time. With all of them in one step, the other stages would
-    // idle meanwhile, so each stage of the route gets its part.
+    // idle meanwhile, so each stage of the route gets its part, and one more part is on the way.
     private fun decodeLimit(stream: StageStream, streamCount: Int): Int =
-        ceilDiv(streamCount, stream.route.size).coerceIn(1, limits.maxStepPositions)
+        ceilDiv(streamCount, stream.stageCount + 1).coerceIn(1, limits.maxStepPositions)
 
     private fun ceilDiv(dividend: Int, divisor: Int) = (dividend + divisor - 1) / divisor
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStream.kt
@@ -13,6 +13,7 @@
     val isolated: Boolean = item.isolated
     val workClass: String = item.workClass
     val workspace: WorkspaceId = item.workspace
+    val stageCount: Int = maxOf(item.stageCount, item.route.size)
     var epoch = item.epoch
     var route = item.route
     val outputs = OutputLog()
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/SimulatedStage.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/SimulatedStage.kt
@@ -14,9 +14,16 @@
     val faults = ArrayList<String>()
     var alive = true
 
+    private val inProgress = ArrayDeque<Pair<List<EngineInput>, List<EngineOutput>>>()
+
+    /** Hands a step to the engine, and ends the former one if there are two or nothing waits. */
     fun step(nowMs: Long) {
-        val outputs = state.nextStep().map(::run)
+        val inputs = state.nextStep()
+        if (inputs.isNotEmpty()) inProgress += inputs to inputs.map(::run)
+        if (inputs.isNotEmpty() && inProgress.size < 2) return
+        val (ended, outputs) = inProgress.removeFirstOrNull() ?: return
         state.completeStep(outputs, nowMs)
+        state.endStep(ended)
     }
 
     private fun run(input: EngineInput): EngineOutput {
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageStateSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageStateSpec.kt
@@ -8,6 +8,7 @@
 import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
 import kotlin.random.Random
+import org.jacinthlink.api.EngineOutput
 import org.jacinthlink.api.HopItem
 import org.jacinthlink.api.HopStatus
 import org.jacinthlink.api.InstanceId
@@ -77,7 +78,7 @@
                 state.receive(item(0, listOf("x", "y")), 0)
                 state.nextStep()
                 state.completeStep(
-                    listOf(org.jacinthlink.api.EngineOutput(KEY, 0, listOf("abc", "def"))),
+                    listOf(EngineOutput(KEY, 0, listOf("abc", "def"))),
                     0
                 )
                 val flight = state.takeHops(next.instance)
@@ -86,13 +87,47 @@
                 val other = next.copy(instance = InstanceId("c"))
                 state.reroute(Reroute(KEY, 2, listOf(other))) shouldBe RerouteStatus.NOT_RETAINED
             }
-            it("of an isolated stream runs in a step of its own") {
+            it("of an isolated stream runs while the engine has no other step") {
+                // Guards against a crash that takes streams of a second step with it.
                 val state = state()
                 state.receive(item(0, listOf("x")), 0)
                 val lone = StreamKey(RequestId("lone"), 0)
                 state.receive(item(0, listOf("x")).copy(stream = lone, isolated = true), 0)
-                state.nextStep().map { it.stream } shouldBe listOf(KEY)
+                val first = state.nextStep()
+                first.map { it.stream } shouldBe listOf(KEY)
+                state.nextStep().shouldBeEmpty()
+                state.endStep(first)
                 state.nextStep().map { it.stream } shouldBe listOf(lone)
+                state.receive(item(0, listOf("x")).copy(stream = OTHER), 0)
+                state.nextStep().shouldBeEmpty()
+            }
+            it("of a released stream is freed after the step that runs it") {
+                // Guards against an engine that runs a stream whose state it has dropped.
+                val state = state()
+                state.receive(item(0, listOf("x")), 0)
+                val step = state.nextStep()
+                state.release(KEY)
+                state.takeFreed().shouldBeEmpty()
+                state.endStep(step)
+                state.takeFreed() shouldBe listOf(KEY)
+            }
+            it("waits behind a step in progress until enough others wait") {
+                // Guards against steps so small that their fixed part takes most of the engine.
+                val state = state()
+                val streams = List(6) { StreamKey(RequestId("s$it"), 0) }
+                streams.forEach { state.receive(item(0, listOf("x")).copy(stream = it), 0) }
+                val steps = List(2) { state.nextStep() }
+                steps.map { it.size } shouldBe listOf(2, 2)
+                state.nextStep().shouldBeEmpty()
+                steps.forEach { step ->
+                    state.completeStep(step.map { EngineOutput(it.stream, 0, listOf("y")) }, 0)
+                    state.endStep(step)
+                }
+                state.nextStep().size shouldBe 2
+                state.receive(item(1, listOf("x")).copy(stream = streams[0]), 0)
+                state.nextStep().shouldBeEmpty()
+                state.receive(item(1, listOf("x")).copy(stream = streams[1]), 0)
+                state.nextStep().size shouldBe 2
             }
             it("of a long prompt leaves room for streams that decode") {
                 val state = state()
@@ -105,4 +140,5 @@
     })
 
 private const val ITERATIONS = 1_000
+private val OTHER = StreamKey(RequestId("other"), 0)
 private val KEY = StreamKey(RequestId("r"), 0)
