Bound the steps of a stage by the time they take

Cause: a step was bounded by positions alone, 64 of prompts and 256 in all. On a stage of 120 positions/s a few prompts take half a second, on each stage of the route, and a step in progress is not interrupted; in FloodSpec 64 positions are 64 ms.

Change: StepTime fits the time of a step to its positions, from the nominal speed on; with two steps in the engine, the time since the former one ended counts, without the call.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
@@ -5,6 +5,7 @@
 import org.jacinthlink.api.EngineResult
 import org.jacinthlink.api.ModelEngine
 import org.jacinthlink.api.StreamKey
+import org.jacinthlink.decision.stage.stepTime
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
 
@@ -12,17 +13,21 @@
  * The engine beside this sidecar, with its readiness.
  *
  * @property order Loads the layers again; called after each loss of the engine.
+ * @param tokensPerSecond Nominal speed, from which the time of a step follows until it is measured.
  */
 internal class EngineGuard(
     private val engine: ModelEngine,
     private val order: () -> EngineResult<Unit>,
     private val clock: Clock,
-    private val events: EventLog
+    private val events: EventLog,
+    tokensPerSecond: Double
 ) {
     private val lock = Any()
     private var stepsInProgress = 0
     private var stepProgressMs = 0L
+    private var stepProgressNs = 0L
     private var loads = 0L
+    private val stepTime = stepTime(tokensPerSecond)
 
     @Volatile
     var ready = false
@@ -45,7 +50,10 @@
         val result = engine.step(inputs)
         return synchronized(lock) {
             stepsInProgress--
-            stepProgressMs = clock.nowMs()
+            val elapsedMs = progress()
+            if (result is EngineResult.Done) {
+                stepTime.record(inputs.sumOf { it.payloads.size }, elapsedMs)
+            }
             if (load != loads) return null
             if (result is EngineResult.Broken || result is EngineResult.NotSent) markLost("$result")
             result
@@ -54,10 +62,23 @@
 
     private fun begin(): Long =
         synchronized(lock) {
-            if (stepsInProgress++ == 0) stepProgressMs = clock.nowMs()
+            if (stepsInProgress++ == 0) progress()
             loads
         }
 
+    // Returns the time since the last progress, which is that of a step that had to wait.
+    private fun progress(): Double {
+        val nowNs = System.nanoTime()
+        val elapsedMs = (nowNs - stepProgressNs) / NANOS_PER_MS
+        stepProgressMs = clock.nowMs()
+        stepProgressNs = nowNs
+        return elapsedMs
+    }
+
+    /** Positions of a step that lasts [stepMs]. */
+    fun positionsWithin(stepMs: Double): Int =
+        synchronized(lock) { stepTime.positionsWithin(stepMs) }
+
     fun release(stream: StreamKey) {
         engine.release(stream)
     }
@@ -85,4 +106,8 @@
         }
         return ready
     }
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000.0
+    }
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -73,7 +73,7 @@
 internal fun stageDaemon(parts: StageParts): StageDaemon {
     val executor = workers(parts)
     val holding = parts.holding
-    val engine = EngineGuard(parts.engine, parts.loadEngine, parts.clock, parts.events)
+    val engine = engineGuard(parts)
     val peers = StagePeers(parts.client, parts.stageLimits.acknowledgeTimeoutMs)
     val self = RouteStage(parts.instance, parts.address, holding.firstLayer, holding.endLayer)
     val runner =
@@ -88,6 +88,15 @@
     return StageDaemon(parts, runner, engine, head)
 }
 
+private fun engineGuard(parts: StageParts): EngineGuard =
+    EngineGuard(
+        parts.engine,
+        parts.loadEngine,
+        parts.clock,
+        parts.events,
+        parts.holding.tokensPerSecond
+    )
+
 private fun stageHead(
     parts: StageParts,
     engine: EngineGuard,
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -41,7 +41,7 @@
 ) {
     private val lock = ReentrantLock()
     private val inputsReady = lock.newCondition()
-    private val state = StageState(self, limits)
+    private val state = StageState(self, limits, engine::positionsWithin)
     private val inFlight = HashMap<String, Int>()
 
     // Streams of the calls to the engine that are in progress.
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageState.kt
@@ -22,12 +22,16 @@
  *
  * Does no I/O. Not safe for use by several threads.
  */
-internal class StageState(private val self: RouteStage, private val limits: StageLimits) {
+internal class StageState(
+    private val self: RouteStage,
+    private val limits: StageLimits,
+    positionsWithin: (Double) -> Int = { limits.maxStepPositions }
+) {
     private val streams = LinkedHashMap<StreamKey, StageStream>()
     private val refused = RefusedStreams(REFUSED_CAPACITY)
     private val freed = ArrayList<StreamKey>()
     private val steps = ArrayList<Set<StreamKey>>()
-    private val step = StageStep(limits)
+    private val step = StageStep(limits, positionsWithin)
     private var flights = 0L
     private var retainedBytes = 0L
 
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
@@ -6,11 +6,23 @@
 import org.jacinthlink.decision.stage.StepCandidate
 import org.jacinthlink.decision.stage.stepScheduler
 
-/** Selects the inputs of the next step from the streams that have any. */
-internal class StageStep(private val limits: StageLimits) {
+/**
+ * Selects the inputs of the next step from the streams that have any.
+ *
+ * @param positionsWithin Positions of a step that lasts a time in ms.
+ */
+internal class StageStep(
+    private val limits: StageLimits,
+    private val positionsWithin: (Double) -> Int
+) {
     private val scheduler = stepScheduler()
+    private var stepMs = WorkClass.DEFAULT_TOKEN_GAP_MS.toDouble()
 
-    fun update(classes: Map<String, WorkClass>) = scheduler.update(classes)
+    fun update(classes: Map<String, WorkClass>) {
+        scheduler.update(classes)
+        val gapMs = classes.values.minOfOrNull { it.tokenGapMs } ?: WorkClass.DEFAULT_TOKEN_GAP_MS
+        stepMs = gapMs.toDouble()
+    }
 
     /**
      * Inputs for one step; empty if there is none. An isolated stream runs alone.
@@ -50,13 +62,19 @@
         val isPrefillOnly = waiting.size == streamCount && waiting.none { it.pending.size == 1 }
         // Streams that decode may be on another stage at the moment; they must find this one free
         // soon when they come back.
+        val positions = positionLimit()
         return StepBounds(
-            limits.maxStepPositions,
-            if (isPrefillOnly) limits.maxStepPositions else limits.prefillChunkPositions,
+            positions,
+            if (isPrefillOnly) positions else minOf(limits.prefillChunkPositions, positions),
             decodeLimit(waiting.first(), streamCount)
         )
     }
 
+    // A step in progress is not interrupted, so a token of any class may wait for the rest of one
+    // and for another behind it. On a slow accelerator a few prompts would take half a second.
+    private fun positionLimit(): Int =
+        minOf(positionsWithin(stepMs), limits.maxStepPositions)
+
     // Each stream is on one stage at a time. With all of them in one step, the other stages would
     // idle meanwhile, so each stage of the route gets its part, and one more part is on the way.
     private fun decodeLimit(stream: StageStream, streamCount: Int): Int =
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/EngineGuardSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/EngineGuardSpec.kt
@@ -33,7 +33,7 @@
         val inputs = listOf(EngineInput(StreamKey(RequestId("r"), 0), 0, listOf("x")))
 
         fun guard(engine: ModelEngine) =
-            EngineGuard(engine, { EngineResult.Done(Unit) }, clock, eventLog("test", clock::nowMs))
+            EngineGuard(engine, { EngineResult.Done(Unit) }, clock, eventLog("test", clock), 100.0)
 
         describe("a step whose connection breaks after the engine was loaded again") {
             // Guards against the loss of streams that began since: two steps break one by one.
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageStateSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageStateSpec.kt
@@ -129,6 +129,12 @@
                 state.receive(item(1, listOf("x")).copy(stream = streams[1]), 0)
                 state.nextStep().size shouldBe 2
             }
+            it("of a long prompt runs in steps as short as the classes ask for") {
+                // Guards against a prompt that makes others wait for half a second on each stage.
+                val state = StageState(stage, StageLimits()) { stepMs -> (stepMs / 7).toInt() }
+                state.receive(item(0, List(500) { "p" }), 0)
+                state.nextStep().map { it.payloads.size } shouldBe listOf(5)
+            }
             it("of a long prompt leaves room for streams that decode") {
                 val state = state()
                 val long = StreamKey(RequestId("long"), 0)
