Bound the calls on a key-value service that is down for long

Cause: while the service refused calls, each bucket of claims with open operations tried again every 250 ms, also when no caller waited but results were to be recorded. With 16 buckets that is 64 calls/s for each service sidecar (worked out).

Ruled out: a pause common to all buckets of a sidecar, which would save calls in the outage but hold up buckets whose calls work.

--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/Caller.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/Caller.kt
@@ -170,3 +170,15 @@
     (this as? PeerResult.Answered)?.takeIf { !it.isSuccess }?.let {
         ProtocolJson.decodeFromString(ErrorBody.serializer(), it.body).error
     }
+
+/** True for a 2xx answer. */
+fun isSuccess(answer: PeerResult) = answer is PeerResult.Answered && answer.isSuccess
+
+/** True for an answer of the plain service, with any status. */
+fun isOfService(answer: PeerResult) = answer.replayedHeader() != null
+
+/** True for the recorded result of an earlier call with the same key. */
+fun isReplayed(answer: PeerResult) = isSuccess(answer) && answer.replayedHeader() == "true"
+
+private fun PeerResult.replayedHeader(): String? =
+    (this as? PeerResult.Answered)?.headers?.headerValue(Headers.REPLAYED)
--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/SlowKeyValueSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/SlowKeyValueSpec.kt
@@ -9,10 +9,8 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
-import org.jacinthlink.api.Headers
 import org.jacinthlink.api.WorkClass
 import org.jacinthlink.runtime.http.PeerResult
-import org.jacinthlink.runtime.http.headerValue
 import org.jacinthlink.standins.KeyValueFaults
 
 // More than the workers of both sidecars and the threads of both entries can hold.
@@ -88,9 +86,3 @@
             }
         }
     })
-
-/** True for an answer of the plain service, with any status. */
-private fun isOfService(answer: PeerResult) =
-    answer is PeerResult.Answered && answer.headers.headerValue(Headers.REPLAYED) != null
-
-private fun isSuccess(answer: PeerResult) = answer is PeerResult.Answered && answer.isSuccess
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/ClaimStoreSettings.kt
@@ -11,6 +11,7 @@
  * @property writeIntervalMs Shortest time between the starts of two writes of one bucket.
  * @property readIntervalMs Shortest time between two reads that look for writes of other sidecars.
  * @property maxBackoffMs Longest pause between two attempts while the key-value service is down.
+ *   Each bucket with open operations makes one call in that time, in each sidecar.
  * @property recordTimeoutMs Time for which results are offered to a service that is down.
  * @property maxWaiting Operations that may wait for the next write of a bucket.
  */
@@ -19,7 +20,7 @@
     val bucketCount: Int = 16,
     val writeIntervalMs: Long = 50,
     val readIntervalMs: Long = 200,
-    val maxBackoffMs: Long = 250,
+    val maxBackoffMs: Long = 2_000,
     val recordTimeoutMs: Long = 600_000,
     val maxWaiting: Int = 1_024,
     val limits: ClaimLimits = ClaimLimits()
