Keep the time-out of entries for the key-value service at 1 s

Cause: a change of the configuration whose answer is lost takes up to eleven calls. With a time-out that grows to 5 s they exceed the 15 s that an operator's command waits (worked out: 55 s and 0.8 s of pauses), and the operator would see a time-out where 4004 is due.

Ruled out: fewer reads back, which would give up sooner in short outages that refuse calls. Only claims need the longer time-out, and entries write none.

After: ConfigurationSpec, KeyValueOutageSpec and SlowKeyValueSpec pass.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/StartEntry.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/StartEntry.kt
@@ -27,7 +27,11 @@
             role = Role.ENTRY,
             platform = { client ->
                 DaemonPlatform(
-                    etcdKeyValueService(client, settings.keyValueUrl),
+                    etcdKeyValueService(
+                        client,
+                        settings.keyValueUrl,
+                        maxTimeoutMs = KEY_VALUE_TIMEOUT_MS
+                    ),
                     httpInstanceList(client, settings.instanceListUrl)
                 )
             },
@@ -42,6 +46,10 @@
     return startDaemon(setup) { context -> EntryLogic(settings, context) }
 }
 
+// A change of the configuration takes up to eleven calls if its answer is lost, and an operator's
+// command waits 15 s for it.
+private const val KEY_VALUE_TIMEOUT_MS = 1_000L
+
 private class EntryLogic(settings: EntrySettings, daemon: DaemonContext) : DaemonLogic {
     private val context = entryContext(settings, daemon)
     private val server = EntryServer(context).apply { start() }
