Count an owned claim that waits for a worker as held by the own process

Cause: since calls wait for a worker between claim and run, a copy of a call that met such a claim took it for one of another sidecar, and read the bucket again every 200 ms at most.

Now the attempt counts as running from the time when it owns the claim. Found by reading; no test measures the reads. CallExecutorSpec, ServiceSidecarSpec and PlainCallSpec pass (mvn -B -ntp test -pl processtests -am -Dtest='CallExecutorSpec,ServiceSidecarSpec,PlainCallSpec' -Dsurefire.failIfNoSpecifiedTests=false).

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRunner.kt
@@ -23,7 +23,7 @@
     private val clocks: SidecarClocks,
     private val monitor: CallMonitor
 ) {
-    /** Attempts of this process that execute now. */
+    /** Attempts of this process that own their claim and execute or wait for a worker. */
     private val runningNonces = ConcurrentHashMap.newKeySet<String>()
 
     /** Answers whose records are still on their way to the key-value service. */
@@ -68,7 +68,7 @@
                 ClaimStep.Ended(claimUnavailable(call, key, result.message))
             is ClaimResult.Decided ->
                 when (val decision = result.decision) {
-                    ClaimDecision.Owned -> ClaimStep.Owned
+                    ClaimDecision.Owned -> ClaimStep.Owned.also { runningNonces += call.nonce }
                     is ClaimDecision.Held -> held(call, decision.claim)
                     else -> ClaimStep.Ended(settled(decision))
                 }
@@ -128,6 +128,7 @@
     /** Forbids the call of [key] for ever, whose claim [call] owns and will not use. */
     fun forfeit(call: PendingCall, key: String) {
         claims.submitInBackground(ClaimOperation.Cancel(key, call.request.bodyHash, call.nonce))
+        runningNonces -= call.nonce
     }
 
     /** Runs [call], whose claim is owned if it has a key. */
@@ -139,7 +140,6 @@
             forfeit(call, key)
             return refused(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before the run")
         }
-        runningNonces += call.nonce
         val result = send(call)
         if (result is PlainResult.NotSent) {
             claims.submitInBackground(ClaimOperation.Release(key, call.nonce))
