Lay a crash to the earlier step when a later one cannot be sent

Cause: found by reading. With two steps at a time, the second one may be refused at connecting before the connection of the first one breaks. It freed all streams as lost without a crash, so that the crash of the first step was counted by nobody and its request could go on to a third backend server.

Ruled out: waiting for the first step (if it ended well, nobody would free the streams that the reload drops).

Change: the streams of the other calls in progress are the suspects of a call that could not be sent.

StageRunnerSpec fails with the former rule and passes: mvn test -pl sidecar -am -Dtest=StageRunnerSpec

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -153,8 +153,8 @@
         when (val result = call(inputs)) {
             is EngineResult.Done -> complete(result.value)
             is EngineResult.Refused -> refused(inputs, result.message)
-            is EngineResult.NotSent -> lost(crashId = "", result.message)
-            is EngineResult.Broken -> lost(UUID.randomUUID().toString(), result.message)
+            is EngineResult.NotSent -> lost(ranNot = streamsOf(inputs), result.message)
+            is EngineResult.Broken -> lost(ranNot = emptySet(), result.message)
             null -> Unit
         }
     }
@@ -187,9 +187,16 @@
         report(lock.withLock { listOfNotNull(state.lose(stream, message)) })
     }
 
-    // Any of the calls in progress may have crashed the engine, whichever connection broke first.
-    private fun lost(crashId: String, message: String) =
-        report(lock.withLock { state.loseAll(calling.toSet(), crashId, message) })
+    // Any of the calls in progress may have crashed the engine, whichever of them ends first; a
+    // call that could not be sent may end before the one that crashed it.
+    private fun lost(ranNot: Set<StreamKey>, message: String) =
+        report(
+            lock.withLock {
+                val suspects = calling - ranNot
+                val crashId = if (suspects.isEmpty()) "" else UUID.randomUUID().toString()
+                state.loseAll(suspects, crashId, message)
+            }
+        )
 
     private fun sendReady() {
         val sends = ArrayList<() -> Unit>()
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/EngineGuardSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/EngineGuardSpec.kt
@@ -5,27 +5,13 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.jacinthlink.api.EngineInput
-import org.jacinthlink.api.EngineLoad
-import org.jacinthlink.api.EngineOutput
 import org.jacinthlink.api.EngineResult
-import org.jacinthlink.api.LoadOrder
 import org.jacinthlink.api.ModelEngine
 import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.eventLog
 
-private class ScriptedEngine(private val onStep: () -> EngineResult<List<EngineOutput>>) :
-    ModelEngine {
-    override fun load(order: LoadOrder) = EngineResult.Done(Unit)
-
-    override fun step(items: List<EngineInput>) = onStep()
-
-    override fun release(stream: StreamKey) = EngineResult.Done(Unit)
-
-    override fun load() = EngineResult.Done(EngineLoad(0, 0))
-}
-
 class EngineGuardSpec :
     DescribeSpec({
         var nowMs = 1_000L
