--- a/cli/src/main/kotlin/org/jacinthlink/cli/measure/GeneratedFleet.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/measure/GeneratedFleet.kt
@@ -8,7 +8,7 @@
 import org.jacinthlink.decision.routing.HeadCandidate
 
 /** Fleets on which the cost of decisions is measured. The same seed gives the same fleet. */
-internal object GeneratedFleet {
+object GeneratedFleet {
     /** Model that the stages hold. */
     const val MODEL = "model"
 
