Keep the streams of a call to the engine in one place

Cause: the set of streams in calls was added to in one function and cleared in three, with a special case for a refused step that runs its inputs one by one.

Change: the function that calls the engine adds them, handles the loss of the engine while they are in the set, and removes them. A refused step needs no bookkeeping of its own. Behaviour is unchanged.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRunner.kt
@@ -128,7 +128,6 @@
     private fun endStep(inputs: List<EngineInput>) =
         lock.withLock {
             state.endStep(inputs)
-            calling -= streamsOf(inputs)
             inputsReady.signalAll()
         }
 
@@ -153,20 +152,26 @@
         when (val result = call(inputs)) {
             is EngineResult.Done -> complete(result.value)
             is EngineResult.Refused -> refused(inputs, result.message)
-            is EngineResult.NotSent -> lost(ranNot = streamsOf(inputs), result.message)
-            is EngineResult.Broken -> lost(ranNot = emptySet(), result.message)
-            null -> Unit
+            is EngineResult.NotSent, is EngineResult.Broken, null -> Unit
         }
     }
 
     private fun call(inputs: List<EngineInput>): EngineResult<List<EngineOutput>>? {
-        lock.withLock { calling += streamsOf(inputs) }
-        return engine.step(inputs)
+        val streams = inputs.map { it.stream }.toSet()
+        lock.withLock { calling += streams }
+        try {
+            val result = engine.step(inputs)
+            when (result) {
+                is EngineResult.NotSent -> lost(ranNot = streams, result.message)
+                is EngineResult.Broken -> lost(ranNot = emptySet(), result.message)
+                is EngineResult.Done, is EngineResult.Refused, null -> Unit
+            }
+            return result
+        } finally {
+            lock.withLock { calling -= streams }
+        }
     }
 
-    private fun streamsOf(inputs: List<EngineInput>): Set<StreamKey> =
-        inputs.mapTo(HashSet()) { it.stream }
-
     private fun complete(outputs: List<EngineOutput>) {
         lock.withLock { state.completeStep(outputs, clock.nowMs()) }
         sendReady()
@@ -175,11 +180,7 @@
     // One bad input makes the engine refuse the whole step; run alone, only that one fails.
     private fun refused(inputs: List<EngineInput>, message: String) {
         if (inputs.size > 1) {
-            lock.withLock { calling -= streamsOf(inputs) }
-            inputs.forEach {
-                if (engine.ready) runStep(listOf(it))
-                lock.withLock { calling -= it.stream }
-            }
+            inputs.forEach { if (engine.ready) runStep(listOf(it)) }
             return
         }
         val stream = inputs.single().stream
