Share what stood twice

Cause: the shortest time between tokens of the classes was computed in two places with two constants of 35 ms, decodeOrNull was written again in PermitPeers, and the reference activation repeated the loop of the reference answer.

Change: one function for each. Behaviour is unchanged.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/PermitPeers.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/PermitPeers.kt
@@ -1,10 +1,10 @@
 package org.jacinthlink.entry.chat
 
-import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationException
+import kotlinx.serialization.KSerializer
 import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.Role
+import org.jacinthlink.api.decodeOrNull
 import org.jacinthlink.decision.quarantine.ContentRun
 import org.jacinthlink.decision.routing.RendezvousHash
 import org.jacinthlink.entry.EntryContext
@@ -53,14 +53,10 @@
         return context.peerClient.call(PeerCall("POST", "http://$address$path", body), TIMEOUT_MS)
     }
 
-    private fun <T> decode(result: PeerResult, strategy: DeserializationStrategy<T>): T? =
-        try {
-            (result as? PeerResult.Answered)
-                ?.takeIf { it.isSuccess }
-                ?.let { ProtocolJson.decodeFromString(strategy, it.body) }
-        } catch (_: SerializationException) {
-            null
-        }
+    private fun <T> decode(result: PeerResult, serializer: KSerializer<T>): T? =
+        (result as? PeerResult.Answered)
+            ?.takeIf { it.isSuccess }
+            ?.let { ProtocolJson.decodeOrNull(serializer, it.body) }
 
     private companion object {
         // A request waits for the answer; a pause of the JVM takes up to about 200 ms.
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RunningBound.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RunningBound.kt
@@ -16,7 +16,7 @@
  * a flood that meets cold or busy processes it comes from the streams that run already.
  */
 internal class RunningBound(private val fixed: Int?, classes: Map<String, WorkClass>) {
-    private var classGapMs = shortestClassGapMs(classes)
+    private var classGapMs = shortestTokenGapMs(classes)
     private var windowStartMs = 0L
     private var windowTokens = 0L
     private var isWaiting = false
@@ -27,7 +27,7 @@
 
     /** Puts the configured [classes] in force. */
     fun update(classes: Map<String, WorkClass>) {
-        classGapMs = shortestClassGapMs(classes)
+        classGapMs = shortestTokenGapMs(classes)
     }
 
     fun onStarted(costTokens: Int) {
@@ -103,9 +103,5 @@
         // Where streams are too few, the throughput grows as they do.
         const val STEP = 1.25
         const val FOLLOWS = 1.1
-        const val DEFAULT_GAP_MS = 35L
-
-        fun shortestClassGapMs(classes: Map<String, WorkClass>): Double =
-            (classes.values.minOfOrNull { it.tokenGapMs } ?: DEFAULT_GAP_MS).toDouble()
     }
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageStep.kt
@@ -16,12 +16,11 @@
     private val positionsWithin: (Double) -> Int
 ) {
     private val scheduler = stepScheduler()
-    private var stepMs = WorkClass.DEFAULT_TOKEN_GAP_MS.toDouble()
+    private var stepMs = shortestTokenGapMs(emptyMap())
 
     fun update(classes: Map<String, WorkClass>) {
         scheduler.update(classes)
-        val gapMs = classes.values.minOfOrNull { it.tokenGapMs } ?: WorkClass.DEFAULT_TOKEN_GAP_MS
-        stepMs = gapMs.toDouble()
+        stepMs = shortestTokenGapMs(classes)
     }
 
     /**
--- a/standins/src/main/kotlin/org/jacinthlink/standins/EngineComputation.kt
+++ b/standins/src/main/kotlin/org/jacinthlink/standins/EngineComputation.kt
@@ -12,29 +12,23 @@
     promptTokens: List<String>,
     tokenCount: Int
 ): List<String> {
-    val previous = arrayOfNulls<String>(layerCount)
-
-    fun run(token: String): String {
-        var payload = token
-        for (layer in 0 until layerCount) {
-            payload = layerOutput(model, layer, payload, previous[layer])
-            previous[layer] = payload
-        }
-        return payload
-    }
-
-    var last = promptTokens.map(::run).lastOrNull() ?: return emptyList()
+    val run = layerRun(model, layerCount)
+    var last = promptTokens.map(run).lastOrNull() ?: return emptyList()
     return List(tokenCount) { sampleToken(last).also { last = run(it) } }
 }
 
 /** Output of the first [layerCount] layers of a model at the last one of [tokens]. */
-fun referenceActivation(model: String, layerCount: Int, tokens: List<String>): String {
+fun referenceActivation(model: String, layerCount: Int, tokens: List<String>): String =
+    tokens.map(layerRun(model, layerCount)).last()
+
+// Runs the first layers of a model over one token of a stream after the other.
+private fun layerRun(model: String, layerCount: Int): (String) -> String {
     val previous = arrayOfNulls<String>(layerCount)
-    return tokens.map { token ->
+    return { token ->
         (0 until layerCount).fold(token) { input, layer ->
             layerOutput(model, layer, input, previous[layer]).also { previous[layer] = it }
         }
-    }.last()
+    }
 }
 
 /**
