--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
@@ -0,0 +1,43 @@
+package org.jacinthlink.decision.fleet
+
+/**
+ * What a backend server says of itself.
+ *
+ * @property instanceId Identity of this start, or of several starts.
+ * @property bornAtMs Start of the process in Unix milliseconds; tells starts of one id apart.
+ * @property accelerator Kind of its accelerator, or null for a plain service.
+ * @property layers Layers that it holds, or null if it holds none.
+ * @property orderCount Orders that it has accepted since its start.
+ */
+data class BackendServer(
+    val instanceId: String,
+    val service: String,
+    val host: String,
+    val port: Int,
+    val zone: String,
+    val state: ServerState,
+    val slots: Int,
+    val bornAtMs: Long,
+    val accelerator: String?,
+    val layers: LayerRange?,
+    val orderCount: Long
+) {
+    /** `IP:PORT`. */
+    val address: String get() = "$host:$port"
+}
+
+/** Whether a backend server takes new work. */
+enum class ServerState { READY, DRAINING }
+
+/** Layers [from] up to [to], exclusive. */
+data class LayerRange(val from: Int, val to: Int) {
+    val size: Int get() = to - from
+
+    /** True if all of [other] is inside. */
+    fun contains(other: LayerRange): Boolean = from <= other.from && other.to <= to
+
+    /** True if [layer] is inside. */
+    operator fun contains(layer: Int): Boolean = layer in from until to
+
+    override fun toString(): String = "$from-$to"
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/FleetConfiguration.kt
@@ -0,0 +1,70 @@
+package org.jacinthlink.decision.fleet
+
+/**
+ * What the operators have configured.
+ *
+ * @property version Grows with each change, in uneven steps.
+ * @property accessByKey Workspace of each API key; empty if no keys are used.
+ */
+data class FleetConfiguration(
+    val version: Long,
+    val routes: List<RouteRule>,
+    val services: Map<String, ServiceDefinition>,
+    val limits: ClientLimits,
+    val accessByKey: Map<String, WorkspaceAccess>,
+    val usesKeys: Boolean
+)
+
+/** A workspace that an API key belongs to. [priority] goes before that of the route. */
+data class WorkspaceAccess(val workspace: String, val priority: Int?)
+
+/**
+ * A route from a host and a path prefix to services.
+ *
+ * @property timeoutMs Longest time that a request is kept waiting.
+ * @property targetLatencyMs Time within which an answer, or the first event, is on time.
+ * @property targetGapMs Longest pause between events of a stream that is on time, or null.
+ * @property priority Rank; 0 is the most urgent.
+ * @property maxAttempts Number of backend servers that may run one request.
+ * @property isResumable True if a stream may go on at another backend server.
+ */
+data class RouteRule(
+    val name: String,
+    val host: String,
+    val pathPrefix: String,
+    val kind: RouteKind,
+    val targets: List<WeightedService>,
+    val timeoutMs: Long,
+    val targetLatencyMs: Long,
+    val targetGapMs: Long?,
+    val priority: Int,
+    val maxAttempts: Int,
+    val isAnonymous: Boolean,
+    val isResumable: Boolean
+) {
+    /** True if a request may run more than once. */
+    val isIdempotent: Boolean
+        get() = kind == RouteKind.SAFE || kind == RouteKind.STREAM && isResumable
+}
+
+/** A service and its share of a route. */
+data class WeightedService(val service: String, val weight: Double)
+
+/** What may be repeated on a route, and what its answers look like. */
+enum class RouteKind { SAFE, UNSAFE, STREAM }
+
+/** A service. [engine] is null for a plain service. */
+data class ServiceDefinition(
+    val name: String,
+    val healthPath: String,
+    val maxConnections: Int,
+    val engine: EngineProfile?
+)
+
+/** Bounds on what a client may send. */
+data class ClientLimits(
+    val maxHeaderBytes: Int,
+    val maxBodyBytes: Int,
+    val headerTimeoutMs: Long,
+    val idleTimeoutMs: Long
+)
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/ZoneGroups.kt
@@ -0,0 +1,30 @@
+package org.jacinthlink.decision.layout
+
+/** Share of a group's memory that weights may take; the rest holds requests. */
+private const val MAX_WEIGHT_SHARE = 0.8
+
+/**
+ * Groups servers so that each group holds a whole copy of the model.
+ *
+ * A path that crosses availability zones loads the shared link with each prompt, so a group is one
+ * zone wherever a zone is large enough. Zones that are too small go together.
+ *
+ * @param modelMb Memory of all layers.
+ */
+internal fun zoneGroups(servers: List<LayoutServer>, modelMb: Double): List<List<LayoutServer>> {
+    val (large, small) =
+        servers.groupBy { it.zone }.toSortedMap().values.partition { it.holds(modelMb) }
+    val rest = small.flatten()
+    return when {
+        rest.isEmpty() -> large
+        rest.holds(modelMb) || large.isEmpty() -> large + listOf(rest)
+        else -> {
+            val smallest = large.minBy { it.memoryMb() }
+            large.filter { it !== smallest } + listOf(smallest + rest)
+        }
+    }
+}
+
+private fun List<LayoutServer>.holds(modelMb: Double) = memoryMb() * MAX_WEIGHT_SHARE >= modelMb
+
+private fun List<LayoutServer>.memoryMb() = sumOf { it.memoryMb }
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -0,0 +1,100 @@
+package org.jacinthlink.decision.paths
+
+import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.EngineProfile
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.fleet.ServerState
+
+/** A backend server and the layers that it runs on a path. */
+data class PathPart(val server: BackendServer, val layers: LayerRange)
+
+/**
+ * Backend servers that together run every layer once, in order.
+ *
+ * @property home Zone that the path belongs to.
+ * @property crossings Number of times that it passes from one zone to another.
+ * @property capacityTokens Tokens of requests that the tightest part has room for.
+ */
+data class ServingPath(
+    val home: String,
+    val parts: List<PathPart>,
+    val crossings: Int,
+    val capacityTokens: Long
+) {
+    val first: BackendServer get() = parts.first().server
+
+    /** True if [address] serves a part. */
+    fun uses(address: String): Boolean = parts.any { it.server.address == address }
+}
+
+/** Most parts that a path may have. */
+private const val MAX_PARTS = 32
+
+/**
+ * One path for each zone whose servers, with help from other zones where it has a gap, hold all
+ * layers.
+ *
+ * @param avoided Addresses that are taken as failed.
+ */
+fun planPaths(
+    engine: EngineProfile,
+    servers: List<BackendServer>,
+    avoided: Set<String>
+): List<ServingPath> {
+    val usable =
+        servers.filter { it.state == ServerState.READY && it.address !in avoided }
+            .filter { it.layers != null }
+    return usable.map { it.zone }.distinct().sorted().mapNotNull { zone ->
+        coveringParts(engine, usable, zone)?.let { servingPath(engine, zone, it) }
+    }
+}
+
+private fun coveringParts(
+    engine: EngineProfile,
+    servers: List<BackendServer>,
+    zone: String
+): List<PathPart>? {
+    val parts = mutableListOf<PathPart>()
+    var at = 0
+    while (at < engine.layerCount) {
+        val used = parts.map { it.server.address }.toSet()
+        val holders = servers.filter { at in it.range() && it.address !in used }
+        val next = holders.filter { it.zone == zone }.furthest()
+            ?: holders.bestForeign(parts.lastOrNull()?.server?.zone)
+            ?: return null
+        val homeFrom = servers.filter { it.zone == zone && it.range().from > at }
+            .minOfOrNull { it.range().from }
+        val end = if (next.zone == zone || homeFrom == null) next.range().to
+        else minOf(next.range().to, homeFrom)
+        parts.add(PathPart(next, LayerRange(at, end)))
+        at = end
+        if (parts.size > MAX_PARTS) return null
+    }
+    return parts
+}
+
+private fun List<BackendServer>.furthest(): BackendServer? =
+    maxWithOrNull(compareBy<BackendServer> { it.range().to }.thenByDescending { it.address })
+
+private fun List<BackendServer>.bestForeign(lastZone: String?): BackendServer? =
+    filter { it.zone == lastZone }.furthest() ?: furthest()
+
+private fun servingPath(
+    engine: EngineProfile,
+    zone: String,
+    parts: List<PathPart>
+): ServingPath {
+    val crossings = parts.zipWithNext().count { (a, b) -> a.server.zone != b.server.zone }
+    val capacity = parts.minOf { roomTokens(engine, it) }
+    return ServingPath(zone, parts, crossings, capacity)
+}
+
+private fun roomTokens(engine: EngineProfile, part: PathPart): Long {
+    val memoryMb = engine.accelerators[part.server.accelerator]?.memoryMb ?: 0.0
+    val roomMb = memoryMb - part.server.range().size * engine.layerMb
+    return (roomMb / (part.layers.size * engine.tokenLayerMb)).toLong().coerceAtLeast(0)
+}
+
+private fun BackendServer.range(): LayerRange = layers ?: EMPTY_RANGE
+
+private val EMPTY_RANGE = LayerRange(0, 0)
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/Main.kt
@@ -0,0 +1,43 @@
+package org.jacinthlink.router
+
+import java.nio.file.Path
+import kotlin.system.exitProcess
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import org.jacinthlink.api.Failure
+import org.jacinthlink.api.Success
+import org.jacinthlink.platform.boot.platformSettingsPath
+import org.jacinthlink.runtime.settings.loadSettings
+
+/** Runs a router until SIGTERM. */
+fun main(args: Array<String>) {
+    val parser = ArgParser("jacinthlink-router")
+    val file by parser.option(ArgType.String, "settings", "s", "YAML file with the settings")
+    val check by
+        parser.option(ArgType.Boolean, "check", description = "check the settings and end")
+            .default(false)
+    parser.parse(args)
+    val path = file ?: platformSettingsPath(System.getenv())
+    if (path == null) fail("no settings: give --settings FILE")
+    val loaded =
+        loadSettings(RouterSettings.serializer(), Path.of(path)) { settings -> check(settings) }
+    when (loaded) {
+        is Failure -> fail("${loaded.code.number} ${loaded.code.name}: ${loaded.message}")
+        is Success -> if (check) println("$path: valid") else run(loaded.value)
+    }
+}
+
+private fun run(settings: RouterSettings) {
+    val router = router(settings)
+    Runtime.getRuntime().addShutdownHook(Thread({ router.drain() }, "drain"))
+    router.start()
+    Thread.currentThread().join()
+}
+
+private fun fail(message: String): Nothing {
+    System.err.println("jacinthlink-router: $message")
+    exitProcess(SETTINGS_INVALID)
+}
+
+private const val SETTINGS_INVALID = 2
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -0,0 +1,128 @@
+package org.jacinthlink.router
+
+import org.jacinthlink.decision.fleet.FleetConfiguration
+import org.jacinthlink.decision.fleet.RouteRule
+import org.jacinthlink.decision.fleet.WeightedService
+import org.jacinthlink.decision.fleet.WorkspaceAccess
+import org.jacinthlink.platform.forward.RequestInfo
+import org.jacinthlink.platform.forward.refusalHeaders
+import org.jacinthlink.platform.forward.requestInfo
+import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.relay.PlainBalance
+import org.jacinthlink.router.relay.PlainRelay
+import org.jacinthlink.router.relay.RelayContext
+import org.jacinthlink.router.relay.RelayRequest
+import org.jacinthlink.router.relay.StreamBook
+import org.jacinthlink.router.relay.StreamRelay
+import org.jacinthlink.transport.ServerExchange
+import org.jacinthlink.transport.ServerHandler
+import org.jacinthlink.transport.ServerRequest
+
+/** Decides for each request of a client where it goes. */
+internal class RequestRouter(
+    private val context: RelayContext,
+    private val configuration: ConfigurationBelief,
+    private val streams: StreamBook
+) : ServerHandler {
+    private val balance = PlainBalance()
+    private val shares = ServiceShares()
+
+    override fun handle(request: ServerRequest, exchange: ServerExchange) {
+        val info = requestInfo(request)
+        val current = configuration.current
+            ?: return refuse(info, exchange, UNAVAILABLE, "no configuration", null, RETRY_AFTER_MS)
+        val route = configuration.routes.find(info.host, request.path)
+            ?: return refuse(info, exchange, NOT_FOUND, "no route", current.version)
+        val needsKey = current.usesKeys && !route.isAnonymous
+        val access = info.apiKey?.let { current.accessByKey[it] }
+        when {
+            needsKey && access == null ->
+                refuse(info, exchange, UNAUTHORIZED, "unknown key", current.version)
+            info.requestId == null ->
+                refuse(info, exchange, BAD_REQUEST, "no request id", current.version)
+            else -> {
+                val workspace = access.takeIf { needsKey }
+                forward(Arrival(request, info, exchange), current, route, workspace)
+            }
+        }
+    }
+
+    private fun forward(
+        arrival: Arrival,
+        current: FleetConfiguration,
+        route: RouteRule,
+        access: WorkspaceAccess?
+    ) {
+        val service = current.services[shares.pick(route.name, route.targets)]
+        if (service == null) {
+            refuse(arrival.info, arrival.exchange, UNAVAILABLE, "no service", current.version)
+            return
+        }
+        val nowMs = context.clockMs()
+        val limitMs = minOf(arrival.info.deadlineMs ?: route.timeoutMs, route.timeoutMs)
+        val job =
+            RelayRequest(
+                arrival.request,
+                arrival.info,
+                arrival.exchange,
+                route,
+                service,
+                access?.workspace,
+                (access?.priority ?: route.priority).coerceIn(0, LEAST_PRIORITY),
+                nowMs,
+                nowMs + limitMs,
+                current.version
+            )
+        if (service.engine != null) StreamRelay(context, streams, job).start()
+        else PlainRelay(context, balance, job).start()
+    }
+
+    private fun refuse(
+        info: RequestInfo,
+        exchange: ServerExchange,
+        status: Int,
+        cause: String,
+        version: Long?,
+        retryAfterMs: Long? = null
+    ) {
+        context.log.event(
+            "refused",
+            "request" to info.requestId,
+            "status" to status,
+            "cause" to cause,
+            "host" to info.host,
+            "configuration" to version
+        )
+        exchange.respond(status, refusalHeaders(info.requestId, retryAfterMs), ByteArray(0))
+    }
+
+    private class Arrival(
+        val request: ServerRequest,
+        val info: RequestInfo,
+        val exchange: ServerExchange
+    )
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+        const val LEAST_PRIORITY = 9
+        const val RETRY_AFTER_MS = 300L
+    }
+}
+
+/** Spreads the requests of a route over its services in proportion to their weights. */
+internal class ServiceShares {
+    private val debts = HashMap<String, Double>()
+
+    /** The service for the next request of [route]. */
+    fun pick(route: String, targets: List<WeightedService>): String? {
+        if (targets.size <= 1) return targets.firstOrNull()?.service
+        val total = targets.sumOf { it.weight }
+        targets.forEach { debts.merge("$route/${it.service}", it.weight / total, Double::plus) }
+        val next = targets.maxBy { debts["$route/${it.service}"] ?: 0.0 }
+        debts.merge("$route/${next.service}", -1.0, Double::plus)
+        return next.service
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -0,0 +1,150 @@
+package org.jacinthlink.router
+
+import org.jacinthlink.decision.retry.retryLedger
+import org.jacinthlink.platform.fleet.EngineClient
+import org.jacinthlink.platform.fleet.OPERATOR_PREFIX
+import org.jacinthlink.platform.fleet.SERVERS_PREFIX
+import org.jacinthlink.platform.store.StoreClient
+import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.beliefs.PrefixWatch
+import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.layout.DutyLease
+import org.jacinthlink.router.layout.LayoutDuty
+import org.jacinthlink.router.relay.FaultWatch
+import org.jacinthlink.router.relay.PathBook
+import org.jacinthlink.router.relay.RelayContext
+import org.jacinthlink.router.relay.StreamBook
+import org.jacinthlink.transport.Address
+import org.jacinthlink.transport.EventLoop
+import org.jacinthlink.transport.HttpListener
+import org.jacinthlink.transport.ServerLimits
+import org.jacinthlink.transport.eventLoop
+import org.jacinthlink.transport.httpClient
+import org.jacinthlink.transport.listen
+import org.jacinthlink.transport.parseAddress
+
+/** A running router; all its parts live on one event loop. */
+class Router internal constructor(private val settings: RouterSettings) {
+    private val log = decisionLog(settings.instance)
+    private val loop: EventLoop = eventLoop("router")
+    private val clockMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
+    private val http = httpClient(loop)
+    private val store = StoreClient(loop, http, settings.store.toAddress())
+    private val engines = EngineClient(loop, http)
+    private val paths: PathBook by lazy { PathBook(log, servers) }
+    private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
+    private val configuration = ConfigurationBelief(log) { paths.invalidate() }
+    private val faults = FaultWatch(loop, engines, servers, log, clockMs) { paths.invalidate() }
+    private val streams = StreamBook(log, ::checkPath)
+    private val lease =
+        DutyLease(loop, store, log, DUTY_KEY, settings.instance, DUTY_TTL_MS)
+    private val duty =
+        LayoutDuty(loop, engines, configuration, servers, faults, lease, log, clockMs)
+    private val context =
+        RelayContext(
+            loop, http, log, servers, faults, paths, ledger(), { ASSUMED_INSTANCES }, clockMs
+        )
+    private val requests = RequestRouter(context, configuration, streams)
+    private val operatorWatch = watch(OPERATOR_PREFIX, configuration)
+    private val serverWatch = watch(SERVERS_PREFIX, servers)
+    private var isDraining = false
+    private lateinit var clients: HttpListener
+    private lateinit var readiness: HttpListener
+
+    /** Opens the addresses and begins to follow the store. */
+    fun start() {
+        clients = listen(loop, settings.clients.toAddress(), ::limits, requests)
+        readiness =
+            listen(loop, settings.readiness.toAddress(), ::limits) { _, exchange ->
+                exchange.respond(if (isReady()) OK else UNAVAILABLE, emptyList(), ByteArray(0))
+            }
+        loop.execute {
+            log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
+            operatorWatch.start()
+            serverWatch.start()
+            loop.repeat(StreamBook.TICK_MS) { streams.tick(clockMs()) }
+            loop.repeat(DUTY_TICK_MS) { duty.tick() }
+            loop.repeat(LEASE_TICK_MS) { if (!isDraining) lease.tryTake() }
+            loop.repeat(EXPIRE_TICK_MS) { servers.expire(clockMs()) }
+        }
+    }
+
+    /** Ends the process after its requests: no new clients, then no idle connections. */
+    fun drain() {
+        val endsAtMs = clockMs() + (settings.shutdownGraceS * MS_PER_S).toLong() - KILL_MARGIN_MS
+        loop.execute {
+            isDraining = true
+            log.event("draining", "requests" to clients.activeCount)
+            lease.release()
+            clients.drain()
+        }
+        Thread.sleep(UNTIL_UNROUTED_MS)
+        while (clockMs() < endsAtMs && clients.activeCount > 0) Thread.sleep(DRAIN_POLL_MS)
+        log.event("stopped", "requests" to clients.activeCount)
+        Thread.sleep(LAST_LINES_MS)
+    }
+
+    private fun isReady(): Boolean {
+        val services = configuration.current?.services?.values ?: return false
+        val serves = services.any { servers.ready(it.name).isNotEmpty() }
+        return !isDraining && serves
+    }
+
+    private fun limits(): ServerLimits {
+        val limits = configuration.limits
+        return ServerLimits(
+            limits.maxHeaderBytes,
+            limits.maxBodyBytes,
+            limits.headerTimeoutMs,
+            limits.idleTimeoutMs
+        )
+    }
+
+    private fun checkPath(home: String) {
+        configuration.current?.services?.values.orEmpty().forEach { service ->
+            paths.paths(service, faults.failed).filter { it.home == home }
+                .flatMap { it.parts }
+                .forEach { faults.check(it.server, "path silent") }
+        }
+        paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
+    }
+
+    private fun watch(
+        prefix: String,
+        listener: org.jacinthlink.router.beliefs.PrefixListener
+    ) = PrefixWatch(loop, store, log, prefix, WATCH_WAIT_MS, WATCH_PAUSE_MS, clockMs, listener)
+
+    private fun ledger() =
+        retryLedger(
+            (settings.retryBudget.windowS * MS_PER_S).toLong(),
+            settings.retryBudget.ratio,
+            settings.retryBudget.extra
+        )
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+        const val MS_PER_S = 1_000
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val DUTY_KEY = "duty/layout"
+        const val DUTY_TTL_MS = 3_000L
+        const val DUTY_TICK_MS = 100L
+        const val LEASE_TICK_MS = 1_000L
+        const val EXPIRE_TICK_MS = 200L
+        const val WATCH_WAIT_MS = 10_000L
+        const val WATCH_PAUSE_MS = 150L
+        const val SILENT_PATH_PAUSE_MS = 400L
+        const val ASSUMED_INSTANCES = 8
+
+        /** Two questions for readiness a second apart take an instance out of use. */
+        const val UNTIL_UNROUTED_MS = 2_600L
+        const val KILL_MARGIN_MS = 300L
+        const val DRAIN_POLL_MS = 20L
+        const val LAST_LINES_MS = 50L
+    }
+}
+
+private fun String.toAddress(): Address = checkNotNull(parseAddress(this)) { "not IP:PORT: $this" }
+
+/** A router with [settings]; it does nothing before it is started. */
+fun router(settings: RouterSettings): Router = Router(settings)
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ConfigurationBelief.kt
@@ -0,0 +1,71 @@
+package org.jacinthlink.router.beliefs
+
+import org.jacinthlink.decision.fleet.ClientLimits
+import org.jacinthlink.decision.fleet.FleetConfiguration
+import org.jacinthlink.decision.fleet.RouteTable
+import org.jacinthlink.decision.fleet.routeTable
+import org.jacinthlink.platform.fleet.CONFIGURATION_KEY
+import org.jacinthlink.platform.fleet.Decoded
+import org.jacinthlink.platform.fleet.decodeConfiguration
+import org.jacinthlink.platform.store.StoreChange
+import org.jacinthlink.platform.store.StoreItem
+import org.jacinthlink.router.DecisionLog
+
+/** The newest configuration that this process has read. It never goes back to an older one. */
+internal class ConfigurationBelief(private val log: DecisionLog, private val onNew: () -> Unit) :
+    PrefixListener {
+    /** The configuration in force, or null before the first. */
+    var current: FleetConfiguration? = null
+        private set
+
+    /** Routes of [current]. */
+    var routes: RouteTable = routeTable(emptyList())
+        private set
+
+    /** The bytes of [current], for peers that cannot read the store. */
+    var bytes: ByteArray = ByteArray(0)
+        private set
+
+    /** Bounds on what clients may send. */
+    val limits: ClientLimits get() = current?.limits ?: DEFAULT_LIMITS
+
+    override fun onSnapshot(items: List<StoreItem>) {
+        items.filter { it.key == CONFIGURATION_KEY }.forEach { read(it.value, "store") }
+    }
+
+    override fun onChange(change: StoreChange) {
+        if (change is StoreChange.Written && change.key == CONFIGURATION_KEY) {
+            read(change.item.value, "store")
+        }
+    }
+
+    /** Takes [value] if it is readable and newer. */
+    fun read(value: ByteArray, source: String) {
+        when (val decoded = decodeConfiguration(value)) {
+            is Decoded.Unreadable ->
+                log.event("configuration_unreadable", "fault" to decoded.fault, "source" to source)
+            is Decoded.Readable -> apply(decoded.value, value, source)
+        }
+    }
+
+    private fun apply(next: FleetConfiguration, value: ByteArray, source: String) {
+        val former = current
+        if (former != null && next.version <= former.version) return
+        current = next
+        routes = routeTable(next.routes)
+        bytes = value
+        log.event(
+            "configuration_applied",
+            "version" to next.version,
+            "former" to former?.version,
+            "routes" to next.routes.size,
+            "keys" to next.accessByKey.size,
+            "source" to source
+        )
+        onNew()
+    }
+
+    private companion object {
+        val DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/PrefixWatch.kt
@@ -0,0 +1,132 @@
+package org.jacinthlink.router.beliefs
+
+import org.jacinthlink.platform.store.StoreAnswer
+import org.jacinthlink.platform.store.StoreChange
+import org.jacinthlink.platform.store.StoreChanges
+import org.jacinthlink.platform.store.StoreClient
+import org.jacinthlink.platform.store.StoreItem
+import org.jacinthlink.platform.store.StoreListing
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.transport.EventLoop
+
+/** Receives what stands under a prefix of the store. */
+internal interface PrefixListener {
+    /** All items, after a start, an outage or a loss of history. */
+    fun onSnapshot(items: List<StoreItem>)
+
+    /** A change since the snapshot. */
+    fun onChange(change: StoreChange)
+}
+
+/**
+ * Follows a prefix of the store: reads it once, then waits for changes.
+ *
+ * @param waitMs Longest wait of one call; a silent connection is noticed after it.
+ * @param pauseMs Pause after changes, so that changes in quick succession share a call.
+ */
+internal class PrefixWatch(
+    private val loop: EventLoop,
+    private val store: StoreClient,
+    private val log: DecisionLog,
+    private val prefix: String,
+    private val waitMs: Long,
+    private val pauseMs: Long,
+    private val clockMs: () -> Long,
+    private val listener: PrefixListener
+) {
+    private var failures = 0
+    private var generation = 0
+
+    /** When the store last confirmed what is known, or null before the first answer. */
+    var confirmedAtMs: Long? = null
+        private set
+
+    /** Begins to follow the prefix. */
+    fun start() {
+        generation++
+        list(null, emptyList(), null, generation)
+    }
+
+    private fun list(
+        after: String?,
+        former: List<StoreItem>,
+        firstRevision: Long?,
+        ownGeneration: Int
+    ) {
+        store.list(prefix, after) { answer ->
+            if (ownGeneration != generation) return@list
+            when (answer) {
+                is StoreAnswer.Done -> listed(answer.value, former, firstRevision, ownGeneration)
+                else -> retry("list", answer, ownGeneration) { start() }
+            }
+        }
+    }
+
+    private fun listed(
+        page: StoreListing,
+        former: List<StoreItem>,
+        firstRevision: Long?,
+        ownGeneration: Int
+    ) {
+        val items = former + page.items
+        // Pages are not a snapshot: changes since the first page are read again by the watch.
+        val revision = firstRevision ?: page.revision
+        if (page.isTruncated && page.items.isNotEmpty()) {
+            list(page.items.last().key, items, revision, ownGeneration)
+        } else {
+            confirmed()
+            listener.onSnapshot(items)
+            watch(revision, ownGeneration)
+        }
+    }
+
+    private fun watch(revision: Long, ownGeneration: Int) {
+        store.watch(prefix, revision, waitMs) { answer ->
+            if (ownGeneration != generation) return@watch
+            when (answer) {
+                is StoreAnswer.Done -> changed(answer.value, revision, ownGeneration)
+                StoreAnswer.HistoryGone -> {
+                    log.event("store_history_gone", "prefix" to prefix, "revision" to revision)
+                    start()
+                }
+                else -> retry("watch", answer, ownGeneration) { watch(revision, ownGeneration) }
+            }
+        }
+    }
+
+    private fun changed(changes: StoreChanges, revision: Long, ownGeneration: Int) {
+        confirmed()
+        changes.changes.forEach { listener.onChange(it) }
+        val next = maxOf(revision, changes.revision)
+        if (changes.changes.isEmpty()) {
+            watch(next, ownGeneration)
+        } else {
+            loop.schedule(pauseMs) { if (ownGeneration == generation) watch(next, ownGeneration) }
+        }
+    }
+
+    private fun confirmed() {
+        if (failures > 0) log.event("store_regained", "prefix" to prefix, "failures" to failures)
+        failures = 0
+        confirmedAtMs = clockMs()
+    }
+
+    private fun retry(
+        call: String,
+        answer: StoreAnswer<*>,
+        ownGeneration: Int,
+        action: () -> Unit
+    ) {
+        failures++
+        if (failures == 1) {
+            log.event("store_lost", "prefix" to prefix, "call" to call, "answer" to answer)
+        }
+        val delayMs = (FIRST_RETRY_MS * failures).coerceAtMost(LAST_RETRY_MS)
+        loop.schedule(delayMs) { if (ownGeneration == generation) action() }
+    }
+
+    private companion object {
+        const val FIRST_RETRY_MS = 100L
+        const val LAST_RETRY_MS = 800L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/DutyLease.kt
@@ -0,0 +1,115 @@
+package org.jacinthlink.router.layout
+
+import org.jacinthlink.platform.store.StoreAnswer
+import org.jacinthlink.platform.store.StoreClient
+import org.jacinthlink.platform.store.StorePut
+import org.jacinthlink.platform.store.StoreTransaction
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.transport.EventLoop
+
+/**
+ * The lease that makes one router the holder of a duty.
+ *
+ * The fencing token is the revision at which the key came to be, so it grows with each holder.
+ */
+internal class DutyLease(
+    private val loop: EventLoop,
+    private val store: StoreClient,
+    private val log: DecisionLog,
+    private val key: String,
+    private val instance: String,
+    private val ttlMs: Long
+) {
+    private var leaseId: Long? = null
+    private var isTrying = false
+
+    /** Token of the present hold, or null if this router does not hold the duty. */
+    var fencingToken: Long? = null
+        private set
+
+    /** Tries to take the duty unless a try is under way. */
+    fun tryTake() {
+        if (isTrying || fencingToken != null) return
+        isTrying = true
+        val lease = leaseId
+        if (lease != null) {
+            claim(lease)
+        } else {
+            store.grantLease(ttlMs) { answer ->
+                if (answer is StoreAnswer.Done) {
+                    leaseId = answer.value.id
+                    claim(answer.value.id)
+                } else {
+                    isTrying = false
+                }
+            }
+        }
+    }
+
+    /** Gives the duty up, because another router has acted with a higher token. */
+    fun lose(cause: String) {
+        if (fencingToken == null) return
+        log.event("duty_lost", "key" to key, "token" to fencingToken, "cause" to cause)
+        fencingToken = null
+        leaseId = null
+    }
+
+    /** Gives the duty up, so that another router takes it at once. */
+    fun release() {
+        val lease = leaseId ?: return
+        if (fencingToken != null) log.event("duty_released", "key" to key, "token" to fencingToken)
+        fencingToken = null
+        leaseId = null
+        store.endLease(lease) {}
+    }
+
+    private fun claim(lease: Long) {
+        val put = StorePut(key, instance.toByteArray(), lease)
+        val transaction = StoreTransaction(mapOf(key to 0L), listOf(put))
+        store.commit(transaction) { answer ->
+            isTrying = false
+            when (answer) {
+                is StoreAnswer.Done -> taken(answer.value)
+                is StoreAnswer.Conflict -> {
+                    // A write whose answer was lost shows up here as the own value.
+                    val own = answer.current.firstOrNull { it.key == key && it.leaseId == lease }
+                    if (own != null) taken(own.createdAtRevision) else dropLease(lease)
+                }
+                StoreAnswer.Missing -> leaseId = null
+                else -> Unit
+            }
+        }
+    }
+
+    private fun dropLease(lease: Long) {
+        leaseId = null
+        store.endLease(lease) {}
+    }
+
+    private fun taken(token: Long) {
+        fencingToken = token
+        log.event("duty_taken", "key" to key, "token" to token, "ttl_ms" to ttlMs)
+        renewLater()
+    }
+
+    private fun renewLater() {
+        loop.schedule(ttlMs / RENEWALS_PER_TTL) {
+            val lease = leaseId
+            if (lease != null && fencingToken != null) renew(lease)
+        }
+    }
+
+    private fun renew(lease: Long) {
+        store.renewLease(lease) { answer ->
+            when {
+                leaseId != lease -> Unit
+                answer is StoreAnswer.Missing -> lose("lease ended")
+                else -> renewLater()
+            }
+        }
+    }
+
+    private companion object {
+        const val RENEWALS_PER_TTL = 3
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EventSplitter.kt
@@ -0,0 +1,55 @@
+package org.jacinthlink.router.relay
+
+import java.io.ByteArrayOutputStream
+
+/**
+ * A whole event of a stream.
+ *
+ * @property id Its `id` field, or null if it has none.
+ */
+internal class StreamEvent(val bytes: ByteArray, val id: Long?)
+
+/** Cuts the bytes of an event stream into whole events; a server may stop in the middle of one. */
+internal class EventSplitter {
+    private val pending = ByteArrayOutputStream()
+    private var atLineStart = false
+
+    /** True while bytes of an event have come that is not whole. */
+    val hasPartialEvent: Boolean get() = pending.size() > 0
+
+    /** Takes [part] and returns the events that are whole with it. */
+    fun feed(part: ByteArray): List<StreamEvent> {
+        val events = mutableListOf<StreamEvent>()
+        var from = 0
+        part.forEachIndexed { i, byte ->
+            if (byte == LINE_FEED) {
+                if (atLineStart) {
+                    pending.write(part, from, i + 1 - from)
+                    from = i + 1
+                    val bytes = pending.toByteArray()
+                    events.add(StreamEvent(bytes, eventId(bytes)))
+                    pending.reset()
+                    atLineStart = false
+                } else {
+                    atLineStart = true
+                }
+            } else if (byte != CARRIAGE_RETURN) {
+                atLineStart = false
+            }
+        }
+        pending.write(part, from, part.size - from)
+        return events
+    }
+
+    private fun eventId(bytes: ByteArray): Long? =
+        bytes.toString(Charsets.ISO_8859_1)
+            .lineSequence()
+            .firstOrNull { it.startsWith(ID_FIELD) }
+            ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -0,0 +1,70 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.fleet.ServiceDefinition
+import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.paths.planPaths
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.router.beliefs.ServerDirectory
+
+/** Paths of each model service, and how much of each this process uses. */
+internal class PathBook(private val log: DecisionLog, private val servers: ServerDirectory) {
+    private val pathsByService = HashMap<String, List<ServingPath>>()
+    private val described = HashMap<String, String>()
+    private val usedTokens = HashMap<String, Long>()
+    private val avoidedUntilMs = HashMap<String, Long>()
+
+    /** Plans all paths anew at the next use. */
+    fun invalidate() {
+        pathsByService.clear()
+    }
+
+    /** Paths of [service] without the servers at [failed]. */
+    fun paths(service: ServiceDefinition, failed: Set<String>): List<ServingPath> {
+        val engine = service.engine ?: return emptyList()
+        return pathsByService.getOrPut(service.name) {
+            planPaths(engine, servers.ready(service.name), failed)
+                .also { logIfChanged(service.name, it) }
+        }
+    }
+
+    /** The path with the least load for a request of [tokens], or null if there is none. */
+    fun choose(
+        service: ServiceDefinition,
+        failed: Set<String>,
+        tried: Set<String>,
+        tokens: Long,
+        nowMs: Long
+    ): ServingPath? {
+        val all = paths(service, failed).filter { it.first.address !in tried }
+        val usable = all.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }.ifEmpty { all }
+        val straight = usable.filter { it.crossings == 0 }.ifEmpty { usable }
+        return straight.minByOrNull { load(it, tokens) }
+    }
+
+    /** Notes that a request uses [tokens] of [path]. */
+    fun use(path: ServingPath, tokens: Long) {
+        usedTokens.merge(path.home, tokens, Long::plus)
+    }
+
+    /** Notes that a request has left [path]. */
+    fun release(path: ServingPath, tokens: Long) {
+        usedTokens.merge(path.home, -tokens, Long::plus)
+    }
+
+    /** Prefers other paths than that of [home] until [untilMs]. */
+    fun avoid(home: String, untilMs: Long) {
+        avoidedUntilMs.merge(home, untilMs, ::maxOf)
+    }
+
+    private fun load(path: ServingPath, tokens: Long): Double =
+        ((usedTokens[path.home] ?: 0) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
+
+    private fun logIfChanged(service: String, paths: List<ServingPath>) {
+        val text = paths.joinToString(";") { path ->
+            "${path.home}:${path.capacityTokens}:${path.crossings}:${path.parts.size}"
+        }
+        if (described.put(service, text) != text) {
+            log.event("paths_planned", "service" to service, "paths" to text)
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainBalance.kt
@@ -0,0 +1,53 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.fleet.BackendServer
+
+/** Spreads the requests of plain services over their servers. */
+internal class PlainBalance {
+    private val openByServer = HashMap<String, Int>()
+    private val failedUntilMs = HashMap<String, Long>()
+    private val latencyMs = HashMap<String, Double>()
+    private var turn = 0
+
+    /** The server of [candidates] with the least expected wait, or null. */
+    fun choose(candidates: List<BackendServer>, nowMs: Long): BackendServer? {
+        turn++
+        val sound = candidates.filter { (failedUntilMs[it.instanceId] ?: 0) <= nowMs }
+        val usable = sound.ifEmpty { candidates }
+        return usable.indices
+            .sortedBy { (it + turn) % usable.size }
+            .minByOrNull { cost(usable[it]) }
+            ?.let { usable[it] }
+    }
+
+    /** Notes that a request was sent to [server]. */
+    fun started(server: BackendServer) {
+        openByServer.merge(server.instanceId, 1, Int::plus)
+    }
+
+    /** Notes the end of a request after [tookMs]. */
+    fun ended(server: BackendServer, tookMs: Long, hasFailed: Boolean, nowMs: Long) {
+        openByServer.merge(server.instanceId, -1, Int::plus)
+        if (hasFailed) {
+            failedUntilMs[server.instanceId] = nowMs + FAILURE_PAUSE_MS
+        } else {
+            val former = latencyMs[server.instanceId] ?: tookMs.toDouble()
+            latencyMs[server.instanceId] = former * (1 - WEIGHT) + tookMs * WEIGHT
+        }
+    }
+
+    private fun cost(server: BackendServer): Double {
+        val slow = if ((latencyMs[server.instanceId] ?: 0.0) > SLOW_MS) SLOW_COST else 0
+        return (openByServer[server.instanceId] ?: 0) + slow.toDouble()
+    }
+
+    private companion object {
+        /** After a failure, other servers are preferred for this time. */
+        const val FAILURE_PAUSE_MS = 700L
+
+        /** Weight of the newest latency in the mean. */
+        const val WEIGHT = 0.3
+        const val SLOW_MS = 70.0
+        const val SLOW_COST = 4
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayContext.kt
@@ -0,0 +1,20 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.retry.RetryLedger
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.transport.EventLoop
+import org.jacinthlink.transport.HttpClient
+
+/** What all relays of a process share. */
+internal class RelayContext(
+    val loop: EventLoop,
+    val http: HttpClient,
+    val log: DecisionLog,
+    val servers: ServerDirectory,
+    val faults: FaultWatch,
+    val paths: PathBook,
+    val ledger: RetryLedger,
+    val instanceCount: () -> Int,
+    val clockMs: () -> Long
+)
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -0,0 +1,308 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.platform.forward.AnswerInfo
+import org.jacinthlink.platform.forward.answerInfo
+import org.jacinthlink.platform.forward.clientHeaders
+import org.jacinthlink.transport.CallFailure
+import org.jacinthlink.transport.ClientCall
+import org.jacinthlink.transport.ClientListener
+import org.jacinthlink.transport.HeaderField
+import org.jacinthlink.transport.Timer
+
+/** Carries one streamed request over a path of engines, and goes on at another when that fails. */
+internal class StreamRelay(
+    private val context: RelayContext,
+    private val streams: StreamBook,
+    private val job: RelayRequest
+) {
+    private val tokens: Long = expectedTokens()
+    private val tried = mutableSetOf<String>()
+    private var send: Send? = null
+    private var runs = 0
+    private var sends = 0
+    private var headIsSent = false
+    private var lastEventId: Long? = job.info.lastEventId
+    private var events = 0
+    private var deadline: Timer? = null
+    private var retry: Timer? = null
+    private var isDone = false
+    private var firstEventAtMs: Long? = null
+
+    /** Zone of the path in use, or null. */
+    val home: String? get() = send?.path?.home
+
+    /** When the path last gave a sign of life for this stream. */
+    val lastSignAtMs: Long get() = send?.lastSignAtMs ?: job.startedAtMs
+
+    /** True once the present path has produced an event. */
+    val isFlowing: Boolean get() = send?.hasEvents == true
+
+    /** Sends the request. */
+    fun start() {
+        streams.add(this)
+        job.exchange.onClientClosed { clientClosed() }
+        deadline = context.loop.schedule(job.endsAtMs - context.clockMs()) { expire() }
+        sendNext("first")
+    }
+
+    /** Leaves the present path, which is taken as broken. */
+    fun leavePath(cause: String) {
+        val current = send ?: return
+        current.call?.cancel()
+        ended(current)
+        sendFailed(current, cause)
+    }
+
+    private fun sendNext(cause: String) {
+        val nowMs = context.clockMs()
+        val failed = context.faults.failed
+        val path = context.paths.choose(job.service, failed, tried, tokens, nowMs)
+            ?: context.paths.choose(job.service, failed, emptySet(), tokens, nowMs)
+        when {
+            path == null -> waitForPath()
+            sends > 0 && !context.ledger.tryRepeat(nowMs, context.instanceCount()) ->
+                giveUp("retry budget")
+            else -> send(path, cause, nowMs)
+        }
+    }
+
+    private fun waitForPath() {
+        val waitedMs = context.clockMs() - job.startedAtMs
+        if (events == 0 && sends == 0 && waitedMs > job.route.targetLatencyMs / 2) {
+            giveUp("no path")
+        } else {
+            retry = context.loop.schedule(PATH_WAIT_MS) { if (!isDone) sendNext("path awaited") }
+        }
+    }
+
+    private fun send(path: ServingPath, cause: String, nowMs: Long) {
+        if (sends == 0) context.ledger.onFirstSend(nowMs)
+        sends++
+        runs++
+        tried.add(path.first.address)
+        context.log.event(
+            "sent",
+            "request" to job.id,
+            "route" to job.route.name,
+            "path" to path.home,
+            "server" to path.first.instanceId,
+            "cause" to cause,
+            "send" to sends,
+            "after_event" to lastEventId,
+            "tokens" to tokens,
+            "left_ms" to job.endsAtMs - nowMs,
+            "configuration" to job.configurationVersion
+        )
+        val next = Send(path, nowMs)
+        send = next
+        context.paths.use(path, tokens)
+        val message = job.message(path.first, path, lastEventId, nowMs, !job.route.isIdempotent)
+        next.call = context.http.send(message, next)
+    }
+
+    private fun headCame(current: Send) {
+        val info = current.info
+        when {
+            info.requestId != null && info.requestId != job.id -> leavePath("other answer")
+            info.status == OK -> Unit
+            info.hasNotRun -> notRun(current)
+            headIsSent || mayRepeat() -> leavePath("status ${info.status}")
+            else -> Unit
+        }
+    }
+
+    private fun notRun(current: Send) {
+        runs--
+        current.call?.cancel()
+        ended(current)
+        val info = current.info
+        context.log.event(
+            "not_run",
+            "request" to job.id,
+            "path" to current.path.home,
+            "status" to info.status,
+            "at" to info.faultyServer,
+            "age_ms" to context.clockMs() - current.startedAtMs
+        )
+        context.paths.avoid(current.path.home, context.clockMs() + FULL_PAUSE_MS)
+        info.faultyServer?.let { address ->
+            context.servers.at(address)?.let { context.faults.check(it, "named by its path") }
+        }
+        if (sends < MAX_SENDS) sendNext("not run") else giveUp("not run")
+    }
+
+    private fun bodyCame(current: Send, part: ByteArray) {
+        if (current.info.status != OK) return
+        val whole = current.splitter.feed(part).filter { isNext(it) }
+        if (whole.isEmpty()) return
+        current.lastSignAtMs = context.clockMs()
+        current.hasEvents = true
+        startAnswer(current)
+        whole.forEach { event ->
+            lastEventId = event.id ?: lastEventId
+            events++
+            job.exchange.write(event.bytes)
+        }
+    }
+
+    private fun isNext(event: StreamEvent): Boolean {
+        val last = lastEventId ?: return true
+        return event.id == null || event.id > last
+    }
+
+    private fun startAnswer(current: Send) {
+        if (headIsSent) return
+        headIsSent = true
+        firstEventAtMs = context.clockMs()
+        job.exchange.startStream(current.info.status, clientHeaders(current.headers))
+    }
+
+    private fun completed(current: Send) {
+        ended(current)
+        when {
+            current.info.status != OK -> passOn(current)
+            current.splitter.hasPartialEvent -> sendFailed(current, "partial event")
+            else -> {
+                startAnswer(current)
+                job.exchange.endStream()
+                finished(OK, "complete")
+            }
+        }
+    }
+
+    private fun passOn(current: Send) {
+        job.exchange.respond(
+            current.info.status,
+            clientHeaders(current.headers),
+            current.errorBody.toByteArray()
+        )
+        finished(current.info.status, "status of the server")
+    }
+
+    private fun sendFailed(current: Send, cause: String) {
+        context.log.event(
+            "send_failed",
+            "request" to job.id,
+            "path" to current.path.home,
+            "cause" to cause,
+            "events" to events,
+            "silent_ms" to context.clockMs() - current.lastSignAtMs
+        )
+        if (mayRepeat()) sendNext(cause) else giveUp(cause)
+    }
+
+    private fun mayRepeat(): Boolean = job.route.isIdempotent && runs < job.route.maxAttempts + 1
+
+    private fun giveUp(cause: String) {
+        when {
+            headIsSent -> {
+                job.exchange.abort()
+                finished(0, cause)
+            }
+            runs == 0 -> {
+                job.refuse(UNAVAILABLE, RETRY_AFTER_MS)
+                finished(UNAVAILABLE, cause)
+            }
+            else -> {
+                job.refuse(BAD_GATEWAY)
+                finished(BAD_GATEWAY, cause)
+            }
+        }
+    }
+
+    private fun expire() {
+        if (isDone) return
+        if (headIsSent) job.exchange.abort() else job.refuse(GATEWAY_TIMEOUT)
+        finished(if (headIsSent) 0 else GATEWAY_TIMEOUT, "deadline")
+    }
+
+    private fun clientClosed() {
+        if (!isDone) finished(0, "client gone")
+    }
+
+    private fun finished(status: Int, cause: String) {
+        isDone = true
+        deadline?.cancel()
+        retry?.cancel()
+        send?.let {
+            it.call?.cancel()
+            ended(it)
+        }
+        streams.remove(this)
+        val nowMs = context.clockMs()
+        context.log.event(
+            "ended",
+            "request" to job.id,
+            "route" to job.route.name,
+            "status" to status,
+            "cause" to cause,
+            "events" to events,
+            "sends" to sends,
+            "first_ms" to firstEventAtMs?.let { it - job.startedAtMs },
+            "ms" to nowMs - job.startedAtMs
+        )
+    }
+
+    private fun ended(current: Send) {
+        if (send !== current) return
+        send = null
+        context.paths.release(current.path, tokens)
+    }
+
+    private fun expectedTokens(): Long {
+        val usual = job.service.engine?.usualAnswerTokens ?: 0
+        val answer = job.info.expectedAnswerTokens ?: usual
+        return job.info.promptTokens + answer.toLong()
+    }
+
+    private inner class Send(val path: ServingPath, val startedAtMs: Long) : ClientListener {
+        var call: ClientCall? = null
+        var headers = emptyList<HeaderField>()
+        lateinit var info: AnswerInfo
+        val splitter = EventSplitter()
+        val errorBody = java.io.ByteArrayOutputStream()
+        var lastSignAtMs = startedAtMs
+        var hasEvents = false
+
+        override fun onHead(status: Int, headers: List<HeaderField>) {
+            info = answerInfo(status, headers)
+            this.headers = headers
+            headCame(this)
+        }
+
+        override fun onBody(part: ByteArray) {
+            if (info.status == OK) bodyCame(this, part) else errorBody.write(part)
+        }
+
+        override fun onComplete() {
+            if (send === this) completed(this)
+        }
+
+        override fun onFailure(failure: CallFailure) {
+            if (send !== this) return
+            ended(this)
+            if (failure == CallFailure.NOT_CONNECTED) {
+                runs--
+                context.faults.check(path.first, "not connected")
+            }
+            if (failure == CallFailure.CONNECTION_LOST) {
+                context.faults.check(path.first, "connection lost")
+            }
+            sendFailed(this, failure.name.lowercase())
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+        const val MAX_SENDS = 6
+        const val PATH_WAIT_MS = 50L
+
+        /** A path that turned a request away is not tried again at once. */
+        const val FULL_PAUSE_MS = 100L
+        const val RETRY_AFTER_MS = 500L
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
@@ -0,0 +1,91 @@
+package org.jacinthlink.transport
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+
+/** Answer on a Netty channel. [mayKeep] tells whether the connection may take another request. */
+internal class ChannelExchange(
+    private val channel: Channel,
+    private val mayKeep: () -> Boolean,
+    private val onFinished: (mayContinue: Boolean) -> Unit
+) : ServerExchange {
+    private var ended = false
+    private var keeps = false
+    private var closedListener: (() -> Unit)? = null
+
+    override val isOpen: Boolean get() = !ended && channel.isActive
+
+    override fun onClientClosed(listener: () -> Unit) {
+        closedListener = listener
+    }
+
+    override fun respond(status: Int, headers: List<HeaderField>, body: ByteArray) {
+        if (!isOpen) return
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(body)
+            )
+        prepare(response, headers)
+        HttpUtil.setContentLength(response, body.size.toLong())
+        finish(response)
+    }
+
+    override fun startStream(status: Int, headers: List<HeaderField>) {
+        if (!isOpen) return
+        val response =
+            DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        prepare(response, headers)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        channel.write(response)
+    }
+
+    override fun write(part: ByteArray) {
+        if (isOpen) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part)))
+    }
+
+    override fun endStream() {
+        if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    override fun abort() {
+        if (!isOpen) return
+        ended = true
+        channel.close()
+        onFinished(false)
+    }
+
+    /** Tells the listener that the client is gone. */
+    fun clientClosed() {
+        if (ended) return
+        ended = true
+        closedListener?.invoke()
+    }
+
+    private fun prepare(response: HttpResponse, headers: List<HeaderField>) {
+        headers.forEach { response.headers().add(it.name, it.value) }
+        keeps = mayKeep()
+        if (!keeps) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+    }
+
+    private fun finish(last: Any) {
+        ended = true
+        val written = channel.writeAndFlush(last)
+        if (!keeps) written.addListener(ChannelFutureListener.CLOSE)
+        onFinished(keeps)
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -0,0 +1,156 @@
+package org.jacinthlink.transport
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/**
+ * One connection to a server.
+ *
+ * It is kept only after a whole read of the socket, so that bytes behind an answer are seen before
+ * the next request is sent; such bytes close the connection.
+ */
+internal class ClientConnection(val address: Address, private val client: HttpClient) :
+    ChannelInboundHandlerAdapter() {
+    private lateinit var ctx: ChannelHandlerContext
+    private var call: ConnectionCall? = null
+    private var isKeptCall = false
+    private var mayKeep = true
+    private var keepAfterRead = false
+    private var lost = false
+    private var usableUntilMs = Long.MAX_VALUE
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        this.ctx = ctx
+    }
+
+    /** True if a request may be sent at [nowMs]. */
+    fun isUsable(nowMs: Long): Boolean = ctx.channel().isActive && nowMs < usableUntilMs
+
+    /** Sends the request of [next]. */
+    fun start(next: ConnectionCall, isKept: Boolean) {
+        call = next
+        isKeptCall = isKept
+        mayKeep = true
+        next.attach(ctx.channel())
+        val request = next.request
+        val message =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method),
+                request.target,
+                Unpooled.wrappedBuffer(request.body)
+            )
+        request.headers.forEach { message.headers().add(it.name, it.value) }
+        if (request.body.isNotEmpty() || request.method !in BODILESS) {
+            HttpUtil.setContentLength(message, request.body.size.toLong())
+        }
+        ctx.writeAndFlush(message)
+    }
+
+    /** Closes the connection. */
+    fun close() {
+        ctx.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+        try {
+            val current = call
+            if (current == null || current.isEnded) {
+                ctx.close()
+                return
+            }
+            if (msg is HttpResponse) readHead(current, msg)
+            if (msg is HttpContent) readBody(current, msg)
+        } finally {
+            ReferenceCountUtil.release(msg)
+        }
+    }
+
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (keepAfterRead && call == null && ctx.channel().isActive) {
+            keepAfterRead = false
+            client.keep(this)
+        }
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        client.closed(this)
+        failCall(CallFailure.CONNECTION_LOST)
+    }
+
+    /** After a reset the codec would report an answer without a length as whole. */
+    @Deprecated("declared so by Netty")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        lost = true
+        failCall(CallFailure.CONNECTION_LOST)
+        ctx.close()
+    }
+
+    private fun readHead(current: ConnectionCall, response: HttpResponse) {
+        if (response.decoderResult().isFailure) return malformed()
+        if (response.status().code() in INFORMATIONAL) return
+        mayKeep = HttpUtil.isKeepAlive(response)
+        noteKeepAlive(response)
+        val headers = response.headers().map { HeaderField(it.key, it.value) }
+        current.head(response.status().code(), headers)
+    }
+
+    private fun readBody(current: ConnectionCall, content: HttpContent) {
+        if (content.decoderResult().isFailure) return malformed()
+        if (!current.hasHead || lost) return
+        val bytes = content.content()
+        if (bytes.isReadable) {
+            val part = ByteArray(bytes.readableBytes())
+            bytes.readBytes(part)
+            current.body(part)
+        }
+        if (content is LastHttpContent && !current.isEnded) {
+            call = null
+            keepAfterRead = mayKeep && ctx.channel().isActive
+            if (!keepAfterRead) ctx.close()
+            current.complete()
+        }
+    }
+
+    private fun noteKeepAlive(response: HttpResponse) {
+        val timeoutS =
+            response.headers().get("keep-alive")?.let { KEEP_ALIVE.find(it) }
+                ?.groupValues?.get(1)?.toLongOrNull()
+        val keepMs = timeoutS?.let { it * MS_PER_S - KEEP_MARGIN_MS } ?: DEFAULT_KEEP_MS
+        usableUntilMs = monotonicMs() + keepMs.coerceAtMost(DEFAULT_KEEP_MS)
+    }
+
+    private fun malformed() {
+        failCall(CallFailure.MALFORMED_ANSWER)
+        ctx.close()
+    }
+
+    private fun failCall(failure: CallFailure) {
+        val current = call ?: return
+        call = null
+        val closedUnread = failure == CallFailure.CONNECTION_LOST && isKeptCall && !current.hasHead
+        current.fail(if (closedUnread) CallFailure.KEPT_CONNECTION_CLOSED else failure)
+    }
+
+    private companion object {
+        val INFORMATIONAL = 100..199
+        val KEEP_ALIVE = Regex("""timeout=(\d+)""")
+        val BODILESS = setOf("GET", "HEAD")
+        const val MS_PER_S = 1_000L
+
+        /** A server may close a little before the time that it has announced. */
+        const val KEEP_MARGIN_MS = 500L
+
+        /** Without an announcement, an idle connection is not used for longer than this. */
+        const val DEFAULT_KEEP_MS = 4_000L
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
@@ -0,0 +1,52 @@
+package org.jacinthlink.transport
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+
+/** A UDP socket. A datagram that cannot be sent is lost. */
+class DatagramSocket internal constructor(private val channel: Channel) {
+    /** Sends [bytes] to [address]. */
+    fun send(address: Address, bytes: ByteArray) {
+        val packet = DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress())
+        channel.writeAndFlush(packet)
+    }
+
+    /** Closes the socket. */
+    fun stop() {
+        channel.close()
+    }
+}
+
+/** Opens a UDP socket on [address]; [onDatagram] runs on the event loop. */
+fun datagramSocket(
+    loop: EventLoop,
+    address: Address,
+    onDatagram: (ByteArray) -> Unit
+): DatagramSocket {
+    val receiver =
+        object : SimpleChannelInboundHandler<DatagramPacket>() {
+            override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+                val bytes = ByteArray(packet.content().readableBytes())
+                packet.content().readBytes(bytes)
+                onDatagram(bytes)
+            }
+
+            /** A refused datagram to a stopped peer is reported here and changes nothing. */
+            @Deprecated("declared so by Netty")
+            override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = Unit
+        }
+    val channel =
+        Bootstrap()
+            .group(loop.group)
+            .channel(NioDatagramChannel::class.java)
+            .handler(receiver)
+            .bind(address.toSocketAddress())
+            .sync()
+            .channel()
+    return DatagramSocket(channel)
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -0,0 +1,54 @@
+package org.jacinthlink.transport
+
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.util.concurrent.DefaultThreadFactory
+import java.util.concurrent.TimeUnit
+
+/**
+ * The one thread that runs all sockets and timers of a process.
+ *
+ * Everything that it calls back runs on that thread, so its users need no locks.
+ */
+class EventLoop internal constructor(internal val group: NioEventLoopGroup) {
+    private val loop = group.next()
+
+    /** True on the thread of the loop. */
+    val isCurrent: Boolean get() = loop.inEventLoop()
+
+    /** Runs [action] on the loop as soon as possible. */
+    fun execute(action: () -> Unit) {
+        loop.execute(action)
+    }
+
+    /** Runs [action] once after [delayMs]. */
+    fun schedule(delayMs: Long, action: () -> Unit): Timer {
+        val future = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS)
+        return Timer { future.cancel(false) }
+    }
+
+    /** Runs [action] each [periodMs], counted from the end of the former run. */
+    fun repeat(periodMs: Long, action: () -> Unit): Timer {
+        val future =
+            loop.scheduleWithFixedDelay(action, periodMs, periodMs, TimeUnit.MILLISECONDS)
+        return Timer { future.cancel(false) }
+    }
+
+    /** Closes all sockets and ends the thread. */
+    fun stop() {
+        group.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val STOP_TIMEOUT_MS = 500L
+    }
+}
+
+/** A scheduled action. */
+fun interface Timer {
+    /** Drops the action if it has not run. */
+    fun cancel()
+}
+
+/** Starts an event loop whose thread is called [name]. */
+fun eventLoop(name: String): EventLoop =
+    EventLoop(NioEventLoopGroup(1, DefaultThreadFactory(name, true)))
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -0,0 +1,79 @@
+package org.jacinthlink.transport
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+
+/** Sends HTTP/1.1 requests and keeps connections for later ones. Used on the event loop only. */
+class HttpClient internal constructor(private val loop: EventLoop) {
+    private val kept = HashMap<Address, ArrayDeque<ClientConnection>>()
+
+    /** Sends [request]; [listener] hears of the answer. */
+    fun send(request: ClientRequest, listener: ClientListener): ClientCall {
+        val connection = if (request.usesFreshConnection) null else takeKept(request.address)
+        val call = ConnectionCall(request, listener)
+        if (connection != null) connection.start(call, isKept = true) else connect(call)
+        return call
+    }
+
+    /** Closes the kept connections to [address]. */
+    fun forget(address: Address) {
+        kept.remove(address)?.forEach { it.close() }
+    }
+
+    internal fun keep(connection: ClientConnection) {
+        val idle = kept.getOrPut(connection.address) { ArrayDeque() }
+        if (idle.size < MAX_KEPT) idle.addLast(connection) else connection.close()
+    }
+
+    internal fun closed(connection: ClientConnection) {
+        kept[connection.address]?.remove(connection)
+    }
+
+    private fun takeKept(address: Address): ClientConnection? {
+        val idle = kept[address] ?: return null
+        val nowMs = monotonicMs()
+        while (idle.isNotEmpty()) {
+            val connection = idle.removeLast()
+            if (connection.isUsable(nowMs)) return connection
+            connection.close()
+        }
+        return null
+    }
+
+    private fun connect(call: ConnectionCall) {
+        val connection = ClientConnection(call.request.address, this)
+        val initializer =
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec(), connection)
+                }
+            }
+        val connecting =
+            Bootstrap()
+                .group(loop.group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.request.connectTimeoutMs)
+                .handler(initializer)
+                .connect(call.request.address.toSocketAddress())
+        call.attach(connecting.channel())
+        connecting.addListener {
+            when {
+                call.isEnded -> connecting.channel().close()
+                it.isSuccess -> connection.start(call, isKept = false)
+                else -> call.fail(CallFailure.NOT_CONNECTED)
+            }
+        }
+    }
+
+    private companion object {
+        /** Kept connections to one address. */
+        const val MAX_KEPT = 64
+    }
+}
+
+/** An HTTP client on [loop]. */
+fun httpClient(loop: EventLoop): HttpClient = HttpClient(loop)
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -0,0 +1,92 @@
+package org.jacinthlink.transport
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpServerCodec
+
+/** A listening HTTP/1.1 server. */
+class HttpListener internal constructor(
+    private val loop: EventLoop,
+    private val channel: Channel,
+    private val connections: MutableSet<ServerConnection>
+) {
+    private val sweep = loop.repeat(SWEEP_PERIOD_MS, ::closeOverdue)
+
+    /** Number of open connections. */
+    val connectionCount: Int get() = connections.size
+
+    /** Number of requests that have not been answered. */
+    val activeCount: Int get() = connections.count { it.isBusy }
+
+    /** Lets each connection end after its present answer; new ones get one answer. */
+    fun drain() {
+        connections.forEach { it.drain() }
+    }
+
+    /** Closes connections that have no request. */
+    fun closeIdle() {
+        connections.toList().filter { !it.isBusy }.forEach { it.close() }
+    }
+
+    /** Stops listening and closes all connections. */
+    fun stop() {
+        sweep.cancel()
+        channel.close()
+        connections.toList().forEach { it.close() }
+    }
+
+    private fun closeOverdue() {
+        val nowMs = monotonicMs()
+        connections.toList().forEach { it.closeIfOverdue(nowMs) }
+    }
+
+    private companion object {
+        const val SWEEP_PERIOD_MS = 250L
+    }
+}
+
+/**
+ * Starts a server on [address].
+ *
+ * @param limits Read for each new connection and each sweep, so that a change applies at once.
+ */
+fun listen(
+    loop: EventLoop,
+    address: Address,
+    limits: () -> ServerLimits,
+    handler: ServerHandler
+): HttpListener {
+    val connections = mutableSetOf<ServerConnection>()
+    val initializer =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                val now = limits()
+                val codec = HttpServerCodec(MAX_LINE_BYTES, now.maxHeaderBytes, CHUNK_BYTES)
+                val connection = ServerConnection(channel, limits, handler, connections)
+                channel.pipeline().addLast(ByteWatch(connection), codec, connection)
+            }
+        }
+    val channel =
+        ServerBootstrap()
+            .group(loop.group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(initializer)
+            .bind(address.toSocketAddress())
+            .sync()
+            .channel()
+    return HttpListener(loop, channel, connections)
+}
+
+/** Milliseconds of the steady clock. */
+internal fun monotonicMs(): Long = System.nanoTime() / NANOS_PER_MS
+
+private const val NANOS_PER_MS = 1_000_000L
+private const val MAX_LINE_BYTES = 8_192
+private const val CHUNK_BYTES = 16_384
+private const val BACKLOG = 1_024
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -0,0 +1,177 @@
+package org.jacinthlink.transport
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import java.io.ByteArrayOutputStream
+
+/** One client connection: reads requests one at a time and keeps early ones for later. */
+internal class ServerConnection(
+    private val channel: Channel,
+    private val limits: () -> ServerLimits,
+    private val handler: ServerHandler,
+    private val connections: MutableSet<ServerConnection>
+) : ChannelInboundHandlerAdapter() {
+    private val waiting = ArrayDeque<Any>()
+    private var head: HttpRequest? = null
+    private var body = ByteArrayOutputStream()
+    private var exchange: ChannelExchange? = null
+    private var requestStartedAtMs: Long? = null
+    private var idleSinceMs = monotonicMs()
+    private var draining = false
+
+    /** True while a request is being read or answered. */
+    val isBusy: Boolean get() = exchange != null || requestStartedAtMs != null
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        connections.add(this)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        connections.remove(this)
+        waiting.forEach { ReferenceCountUtil.release(it) }
+        waiting.clear()
+        exchange?.clientClosed()
+        exchange = null
+    }
+
+    /** A reset ends the connection as a close does; [channelInactive] follows. */
+    @Deprecated("declared so by Netty")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        ctx.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+        if (exchange != null) keep(msg) else accept(msg)
+    }
+
+    /** Notes bytes of a client at [nowMs]. */
+    fun bytesArrived(nowMs: Long) {
+        if (exchange == null && requestStartedAtMs == null) requestStartedAtMs = nowMs
+    }
+
+    /** Ends the connection after its present answer. */
+    fun drain() {
+        draining = true
+    }
+
+    /** Closes the connection. */
+    fun close() {
+        channel.close()
+    }
+
+    /** Closes the connection if its client takes too long with a request or sends none. */
+    fun closeIfOverdue(nowMs: Long) {
+        if (exchange != null) return
+        val startedAtMs = requestStartedAtMs
+        when {
+            startedAtMs == null -> {
+                val limitMs = limits().idleTimeoutMs + IDLE_MARGIN_MS
+                if (nowMs - idleSinceMs > limitMs) close()
+            }
+            nowMs - startedAtMs > limits().requestTimeoutMs -> refuse(REQUEST_TIMEOUT)
+        }
+    }
+
+    private fun keep(msg: Any) {
+        waiting.addLast(msg)
+        if (waiting.size >= MAX_WAITING_PARTS) channel.config().isAutoRead = false
+    }
+
+    private fun accept(msg: Any) {
+        try {
+            if (msg is HttpRequest) start(msg)
+            if (msg is HttpContent && channel.isActive) append(msg)
+        } finally {
+            ReferenceCountUtil.release(msg)
+        }
+    }
+
+    private fun start(request: HttpRequest) {
+        if (requestStartedAtMs == null) requestStartedAtMs = monotonicMs()
+        val fault = request.decoderResult().cause()
+        when {
+            fault is TooLongHttpLineException || fault is TooLongHttpHeaderException ->
+                refuse(HEADERS_TOO_LARGE)
+            fault != null || request.hasConflictingLengths() -> refuse(BAD_REQUEST)
+            else -> {
+                head = request
+                body = ByteArrayOutputStream()
+                if (HttpUtil.is100ContinueExpected(request)) sendContinue()
+            }
+        }
+    }
+
+    private fun append(content: HttpContent) {
+        val request = head ?: return
+        if (content.decoderResult().isFailure) return refuse(BAD_REQUEST)
+        val bytes = content.content()
+        if (body.size() + bytes.readableBytes() > limits().maxBodyBytes) {
+            return refuse(BODY_TOO_LARGE)
+        }
+        bytes.readBytes(body, bytes.readableBytes())
+        if (content is LastHttpContent) dispatch(request)
+    }
+
+    private fun dispatch(request: HttpRequest) {
+        head = null
+        requestStartedAtMs = null
+        val keepAlive = HttpUtil.isKeepAlive(request)
+        val next = ChannelExchange(channel, { keepAlive && !draining }, ::finished)
+        exchange = next
+        val read =
+            ServerRequest(
+                request.method().name(),
+                request.uri(),
+                request.headers().map { HeaderField(it.key, it.value) },
+                body.toByteArray(),
+                System.currentTimeMillis()
+            )
+        handler.handle(read, next)
+    }
+
+    private fun finished(mayContinue: Boolean) {
+        exchange = null
+        idleSinceMs = monotonicMs()
+        if (!mayContinue || !channel.isActive) return
+        channel.config().isAutoRead = true
+        while (exchange == null && waiting.isNotEmpty()) accept(waiting.removeFirst())
+    }
+
+    private fun refuse(status: Int) {
+        head = null
+        requestStartedAtMs = null
+        ChannelExchange(channel, { false }, {}).respond(status, emptyList(), ByteArray(0))
+    }
+
+    private fun sendContinue() {
+        channel.writeAndFlush(
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+        )
+    }
+
+    private fun HttpRequest.hasConflictingLengths(): Boolean =
+        HttpUtil.isTransferEncodingChunked(this) && headers().contains("content-length") ||
+            headers().getAll("host").size != 1
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val REQUEST_TIMEOUT = 408
+        const val BODY_TOO_LARGE = 413
+        const val HEADERS_TOO_LARGE = 431
+        const val MAX_WAITING_PARTS = 64
+
+        /** A request that crosses the close of an idle connection is lost, so the close is late. */
+        const val IDLE_MARGIN_MS = 1_000L
+    }
+}
