Let routers tell each other their news

Routers now exchange one datagram several times a second: who holds the duty, failed servers, learnt layers, used tokens, configuration version. A router without the store takes configuration and servers from a peer.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router
 
+import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.retry.retryLedger
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.OPERATOR_PREFIX
@@ -8,8 +9,14 @@
 import org.jacinthlink.router.beliefs.ConfigurationBelief
 import org.jacinthlink.router.beliefs.PrefixWatch
 import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.layout.DutyElection
 import org.jacinthlink.router.layout.DutyLease
 import org.jacinthlink.router.layout.LayoutDuty
+import org.jacinthlink.router.peers.LayerNews
+import org.jacinthlink.router.peers.PeerExchange
+import org.jacinthlink.router.peers.PeerNews
+import org.jacinthlink.router.peers.SnapshotFollower
+import org.jacinthlink.router.peers.snapshotHandler
 import org.jacinthlink.router.relay.FaultWatch
 import org.jacinthlink.router.relay.PathBook
 import org.jacinthlink.router.relay.RelayContext
@@ -42,11 +49,20 @@
         LayoutDuty(loop, engines, configuration, servers, faults, lease, log, clockMs)
     private val context =
         RelayContext(
-            loop, http, log, servers, faults, paths, ledger(), { ASSUMED_INSTANCES }, clockMs
+            loop, http, log, servers, faults, paths, ledger(), { peers.alive.size + 1 }, clockMs
         )
     private val requests = RequestRouter(context, configuration, streams)
     private val operatorWatch = watch(OPERATOR_PREFIX, configuration)
     private val serverWatch = watch(SERVERS_PREFIX, servers)
+    private val startedAtMs = System.currentTimeMillis()
+    private val election = DutyElection(settings.instance)
+    private val follower =
+        SnapshotFollower(loop, http, settings.peerPort, configuration, servers, log)
+    private val peers: PeerExchange =
+        PeerExchange(
+            loop, store, log, Address(settings.host, settings.peerPort), settings.instance,
+            settings.seeds.map { it.toAddress().host }, clockMs, ::composeNews, ::heard
+        )
     private var isDraining = false
     private lateinit var clients: HttpListener
     private lateinit var readiness: HttpListener
@@ -58,13 +74,20 @@
             listen(loop, settings.readiness.toAddress(), ::limits) { _, exchange ->
                 exchange.respond(if (isReady()) OK else UNAVAILABLE, emptyList(), ByteArray(0))
             }
+        listen(
+            loop,
+            Address(settings.host, settings.peerPort),
+            ::limits,
+            snapshotHandler(configuration, servers)
+        )
+        peers.start()
         loop.execute {
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
             operatorWatch.start()
             serverWatch.start()
             loop.repeat(StreamBook.TICK_MS) { streams.tick(clockMs()) }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
-            loop.repeat(LEASE_TICK_MS) { if (!isDraining) lease.tryTake() }
+            loop.repeat(PEER_TICK_MS) { peerTick() }
             loop.repeat(EXPIRE_TICK_MS) { servers.expire(clockMs()) }
         }
     }
@@ -84,6 +107,55 @@
         Thread.sleep(LAST_LINES_MS)
     }
 
+    private fun peerTick() {
+        val alive = peers.alive
+        val holderIsKnown = lease.fencingToken != null || alive.any { it.dutyToken != null }
+        val others = alive.filter { !it.isDraining }.map { it.instance }
+        if (!isDraining && election.shouldTry(clockMs(), holderIsKnown, others)) lease.tryTake()
+        follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
+        val tokens = HashMap<String, Long>()
+        alive.forEach { peer -> peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) } }
+        paths.notePeers(tokens)
+    }
+
+    private fun storeAgeMs(): Long? {
+        val confirmedAtMs = operatorWatch.confirmedAtMs ?: return null
+        val serversAtMs = serverWatch.confirmedAtMs ?: return null
+        return clockMs() - minOf(confirmedAtMs, serversAtMs)
+    }
+
+    private fun composeNews(): PeerNews =
+        PeerNews(
+            instance = settings.instance,
+            host = settings.host,
+            startedAtMs = startedAtMs,
+            isDraining = isDraining,
+            dutyToken = lease.fencingToken,
+            configurationVersion = configuration.current?.version,
+            storeAgeMs = storeAgeMs(),
+            failed = faults.failed.toList(),
+            usedTokens = paths.ownTokens,
+            layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map {
+                LayerNews(
+                    it.instanceId,
+                    it.bornAtMs,
+                    it.orderCount,
+                    it.layers?.from ?: 0,
+                    it.layers?.to ?: 0
+                )
+            }
+        )
+
+    private fun heard(news: PeerNews) {
+        news.layers.forEach {
+            val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
+            servers.learnLayers(it.instanceId, it.bornAtMs, it.orderCount, layers)
+        }
+        news.failed.filter { !faults.isFailed(it) }.forEach { address ->
+            servers.at(address)?.let { faults.check(it, "reported by ${news.instance}") }
+        }
+    }
+
     private fun isReady(): Boolean {
         val services = configuration.current?.services?.values ?: return false
         val serves = services.any { servers.ready(it.name).isNotEmpty() }
@@ -129,12 +201,12 @@
         const val DUTY_KEY = "duty/layout"
         const val DUTY_TTL_MS = 3_000L
         const val DUTY_TICK_MS = 100L
-        const val LEASE_TICK_MS = 1_000L
+        const val PEER_TICK_MS = 100L
+        const val LAYER_NEWS_MS = 3_000L
         const val EXPIRE_TICK_MS = 200L
         const val WATCH_WAIT_MS = 10_000L
         const val WATCH_PAUSE_MS = 150L
         const val SILENT_PATH_PAUSE_MS = 400L
-        const val ASSUMED_INSTANCES = 8
 
         /** Two questions for readiness a second apart take an instance out of use. */
         const val UNTIL_UNROUTED_MS = 2_600L
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -18,7 +18,7 @@
 ) : PrefixListener {
     private val servers = LinkedHashMap<String, BackendServer>()
     private val missingSinceMs = HashMap<String, Long>()
-    private var snapshots = 0
+    private val learntAtMs = HashMap<String, Long>()
 
     /** All servers that may be used or are leaving. */
     val all: List<BackendServer> get() = servers.values.toList()
@@ -40,7 +40,6 @@
         val seenIds = seen.map { it.instanceId }.toSet()
         // Entries that lapsed during an outage of the store come back within about two seconds.
         servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
-        snapshots++
         log.event("servers_read", "count" to seen.size, "missing" to missingSinceMs.size)
         onChanged()
     }
@@ -53,6 +52,10 @@
         onChanged()
     }
 
+    /** Servers whose layers were learnt from themselves since [sinceMs]. */
+    fun learntSince(sinceMs: Long): List<BackendServer> =
+        learntAtMs.filterValues { it >= sinceMs }.keys.mapNotNull { servers[it] }
+
     /** Drops servers whose entries have not come back. */
     fun expire(nowMs: Long) {
         val gone = missingSinceMs.filterValues { nowMs - it >= MISSING_GRACE_MS }.keys
@@ -74,6 +77,7 @@
         if (!isNewer || known.layers == layers && known.orderCount == orderCount) return false
         servers[instanceId] =
             known.copy(bornAtMs = bornAtMs, orderCount = orderCount, layers = layers)
+        learntAtMs[instanceId] = clockMs()
         log.event(
             "layers_learnt",
             "server" to instanceId,
@@ -84,6 +88,14 @@
         return true
     }
 
+    /** Takes the servers that a peer knows, while the store is out of reach. */
+    fun follow(seen: List<BackendServer>) {
+        seen.forEach { put(it) }
+        val seenIds = seen.map { it.instanceId }.toSet()
+        servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, clockMs()) }
+        onChanged()
+    }
+
     private fun put(next: BackendServer) {
         missingSinceMs.remove(next.instanceId)
         val known = servers[next.instanceId]
@@ -111,6 +123,7 @@
 
     private fun remove(instanceId: String, cause: String) {
         missingSinceMs.remove(instanceId)
+        learntAtMs.remove(instanceId)
         val gone = servers.remove(instanceId) ?: return
         log.event("server_gone", "server" to instanceId, "address" to gone.address, "cause" to cause)
     }
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -0,0 +1,109 @@
+package org.jacinthlink.router.peers
+
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.api.decodeOrNull
+import org.jacinthlink.platform.store.StoreAnswer
+import org.jacinthlink.platform.store.StoreClient
+import org.jacinthlink.platform.store.StorePut
+import org.jacinthlink.platform.store.StoreTransaction
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.transport.Address
+import org.jacinthlink.transport.DatagramSocket
+import org.jacinthlink.transport.EventLoop
+import org.jacinthlink.transport.datagramSocket
+
+/** Sends the news of this router to all others and hears theirs. */
+internal class PeerExchange(
+    private val loop: EventLoop,
+    private val store: StoreClient,
+    private val log: DecisionLog,
+    private val own: Address,
+    private val instance: String,
+    seedHosts: List<String>,
+    private val clockMs: () -> Long,
+    private val compose: () -> PeerNews,
+    private val onNews: (PeerNews) -> Unit
+) {
+    private val table = PeerTable(instance)
+    private lateinit var socket: DatagramSocket
+    private var turn = 0
+
+    init {
+        seedHosts.filter { it != own.host }.forEach { table.addHost(it) }
+    }
+
+    /** News of the peers that are alive. */
+    val alive: List<PeerNews> get() = table.alive(clockMs())
+
+    /** Opens the port, registers this router and begins to send. */
+    fun start() {
+        socket = datagramSocket(loop, own, ::received)
+        loop.execute {
+            register()
+            sendLater()
+        }
+    }
+
+    private fun register() {
+        val put = StorePut("$PEERS_PREFIX$instance", own.host.toByteArray())
+        store.commit(StoreTransaction(puts = listOf(put))) { answer ->
+            if (answer is StoreAnswer.Done) list() else loop.schedule(RETRY_MS) { register() }
+        }
+    }
+
+    private fun list() {
+        store.list(PEERS_PREFIX, null) { answer ->
+            if (answer is StoreAnswer.Done) {
+                answer.value.items.map { it.value.toString(Charsets.UTF_8) }
+                    .filter { it != own.host }
+                    .forEach { table.addHost(it) }
+                log.event("peers_read", "hosts" to table.hosts.size)
+            } else {
+                loop.schedule(RETRY_MS) { list() }
+            }
+        }
+    }
+
+    private fun sendLater() {
+        val periodMs = maxOf(MIN_PERIOD_MS, table.hosts.size * PERIOD_PER_PEER_MS)
+        loop.schedule(periodMs) {
+            send()
+            sendLater()
+        }
+    }
+
+    private fun send() {
+        table.forget(clockMs()).forEach { log.event("peer_forgotten", "peer" to it.instance) }
+        val hosts = table.hosts
+        if (hosts.isEmpty()) return
+        turn++
+        val some = (0 until minOf(SHARED_HOSTS, hosts.size)).map { hosts[(turn + it) % hosts.size] }
+        val bytes =
+            ProtocolJson.encodeToString(PeerNews.serializer(), compose().copy(peers = some))
+                .toByteArray()
+        hosts.forEach { socket.send(Address(it, own.port), bytes) }
+    }
+
+    private fun received(bytes: ByteArray) {
+        val text = bytes.toString(Charsets.UTF_8)
+        val news = ProtocolJson.decodeOrNull(PeerNews.serializer(), text)
+        if (news == null) {
+            log.event("news_unreadable", "bytes" to bytes.size)
+            return
+        }
+        val isNew = table.hear(news, clockMs())
+        if (isNew) log.event("peer_heard", "peer" to news.instance, "host" to news.host)
+        news.peers.filter { it != own.host }.forEach { table.addHost(it) }
+        onNews(news)
+    }
+
+    private companion object {
+        const val PEERS_PREFIX = "peers/"
+        const val RETRY_MS = 700L
+        const val MIN_PERIOD_MS = 200L
+
+        /** Keeps the datagrams of a router near 50 a second, however many peers there are. */
+        const val PERIOD_PER_PEER_MS = 20L
+        const val SHARED_HOSTS = 2
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -0,0 +1,42 @@
+package org.jacinthlink.router.peers
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What a router tells the others several times a second, in one datagram.
+ *
+ * @property instance Name of the sender.
+ * @property host Address of the sender.
+ * @property startedAtMs Start of the sender in Unix milliseconds.
+ * @property dutyToken Fencing token if the sender holds the duty of placing layers.
+ * @property configurationVersion Newest configuration that the sender has read.
+ * @property storeAgeMs Since the store last answered the sender, or null if it never did.
+ * @property failed Addresses that the sender takes as failed.
+ * @property usedTokens Tokens of requests on the path of each zone.
+ * @property layers Layers that the sender has learnt of from engines within the last seconds.
+ * @property peers Hosts of some other routers.
+ */
+@Serializable
+internal data class PeerNews(
+    val instance: String,
+    val host: String,
+    val startedAtMs: Long,
+    val isDraining: Boolean = false,
+    val dutyToken: Long? = null,
+    val configurationVersion: Long? = null,
+    val storeAgeMs: Long? = null,
+    val failed: List<String> = emptyList(),
+    val usedTokens: Map<String, Long> = emptyMap(),
+    val layers: List<LayerNews> = emptyList(),
+    val peers: List<String> = emptyList()
+)
+
+/** Layers of one engine; [from] equals [to] if it holds none. */
+@Serializable
+internal data class LayerNews(
+    val instanceId: String,
+    val bornAtMs: Long,
+    val orderCount: Long,
+    val from: Int,
+    val to: Int
+)
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerTable.kt
@@ -0,0 +1,50 @@
+package org.jacinthlink.router.peers
+
+/** The routers that have been heard of lately. */
+internal class PeerTable(private val ownInstance: String) {
+    private val newsByInstance = LinkedHashMap<String, HeardNews>()
+    private val knownHosts = LinkedHashSet<String>()
+
+    /** Hosts to send news to. */
+    val hosts: List<String> get() = knownHosts.toList()
+
+    /** Takes [news] that came at [nowMs]. Returns true if its sender was not heard lately. */
+    fun hear(news: PeerNews, nowMs: Long): Boolean {
+        if (news.instance == ownInstance) return false
+        val isNew = newsByInstance[news.instance]?.isAlive(nowMs) != true
+        newsByInstance[news.instance] = HeardNews(news, nowMs)
+        knownHosts.add(news.host)
+        return isNew
+    }
+
+    /** Adds a host that may be a router. */
+    fun addHost(host: String) {
+        knownHosts.add(host)
+    }
+
+    /** News of the peers that are alive at [nowMs]. */
+    fun alive(nowMs: Long): List<PeerNews> =
+        newsByInstance.values.filter { it.isAlive(nowMs) }.map { it.news }
+
+    /** Drops peers that have been silent for long, and their hosts. */
+    fun forget(nowMs: Long): List<PeerNews> {
+        val gone = newsByInstance.values.filter { nowMs - it.heardAtMs > FORGET_MS }
+        gone.forEach {
+            newsByInstance.remove(it.news.instance)
+            knownHosts.remove(it.news.host)
+        }
+        return gone.map { it.news }
+    }
+
+    private class HeardNews(val news: PeerNews, val heardAtMs: Long) {
+        fun isAlive(nowMs: Long) = nowMs - heardAtMs <= ALIVE_MS
+    }
+
+    private companion object {
+        /** Several lost datagrams in a row. */
+        const val ALIVE_MS = 1_500L
+
+        /** A machine that is cut off comes back within some seconds. */
+        const val FORGET_MS = 30_000L
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -12,6 +12,15 @@
     private val described = HashMap<String, String>()
     private val usedTokens = HashMap<String, Long>()
     private val avoidedUntilMs = HashMap<String, Long>()
+    private var peerTokens = emptyMap<String, Long>()
+
+    /** Tokens of this process's requests on the path of each zone. */
+    val ownTokens: Map<String, Long> get() = usedTokens.toMap()
+
+    /** Takes the tokens that all peers together use on the path of each zone. */
+    fun notePeers(tokens: Map<String, Long>) {
+        peerTokens = tokens
+    }
 
     /** Plans all paths anew at the next use. */
     fun invalidate() {
@@ -56,8 +65,10 @@
         avoidedUntilMs.merge(home, untilMs, ::maxOf)
     }
 
-    private fun load(path: ServingPath, tokens: Long): Double =
-        ((usedTokens[path.home] ?: 0) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
+    private fun load(path: ServingPath, tokens: Long): Double {
+        val used = (usedTokens[path.home] ?: 0) + (peerTokens[path.home] ?: 0) + tokens
+        return used / path.capacityTokens.coerceAtLeast(1).toDouble()
+    }
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
--- a/platform/src/main/kotlin/org/jacinthlink/platform/store/BufferedCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
@@ -1,15 +1,9 @@
-package org.jacinthlink.platform.store
+package org.jacinthlink.transport
 
 import java.io.ByteArrayOutputStream
-import org.jacinthlink.transport.CallFailure
-import org.jacinthlink.transport.ClientListener
-import org.jacinthlink.transport.ClientRequest
-import org.jacinthlink.transport.EventLoop
-import org.jacinthlink.transport.HeaderField
-import org.jacinthlink.transport.HttpClient
 
 /** Result of a call whose answer is read whole. */
-internal sealed interface BufferedResult {
+sealed interface BufferedResult {
     /** A whole answer. */
     data class Answered(val status: Int, val headers: List<HeaderField>, val text: String) :
         BufferedResult
@@ -19,7 +13,7 @@
 }
 
 /** Sends [request], reads the whole answer and reports it once, after [timeoutMs] at the latest. */
-internal class BufferedCall(
+class BufferedCall(
     loop: EventLoop,
     http: HttpClient,
     request: ClientRequest,
