--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -73,7 +73,11 @@
                 "answer" to answer
             )
             when (answer) {
-                OrderAnswer.Begun, OrderAnswer.AlreadyDone -> follow(server, wish.layers, nowMs)
+                OrderAnswer.Begun -> {
+                    noteGivenUp(server, wish.layers)
+                    follow(server, wish.layers, nowMs)
+                }
+                OrderAnswer.AlreadyDone -> follow(server, wish.layers, nowMs)
                 OrderAnswer.Fenced -> {
                     ordered.remove(server.instanceId)
                     lease.lose("fenced by ${server.instanceId}")
@@ -83,6 +87,18 @@
         }
     }
 
+    /** Layers that are given up take no new requests from the start of the order. */
+    private fun noteGivenUp(server: BackendServer, wanted: LayerRange) {
+        val held = server.layers ?: return
+        val kept = LayerRange(maxOf(held.from, wanted.from), minOf(held.to, wanted.to))
+        servers.learnLayers(
+            server.instanceId,
+            server.bornAtMs,
+            server.orderCount + 1,
+            kept.takeIf { it.size > 0 }
+        )
+    }
+
     private fun follow(server: BackendServer, wanted: LayerRange, orderedAtMs: Long) {
         loop.schedule(FOLLOW_MS) {
             engines.report(server, REPORT_TIMEOUT_MS) { report ->
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -83,6 +83,7 @@
             isDone -> Unit
             info.requestId != null && info.requestId != job.id -> failed(send, "other answer")
             info.hasNotRun -> notRun(send)
+            !info.isSigned -> failed(send, "unsigned answer")
             info.status >= SERVER_ERROR && mayRepeat() -> failed(send, "status ${info.status}")
             info.status >= SERVER_ERROR && open.isNotEmpty() -> Unit
             else -> deliver(send)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -105,6 +105,7 @@
         val info = current.info
         when {
             info.requestId != null && info.requestId != job.id -> leavePath("other answer")
+            info.status == OK && !info.isSigned -> leavePath("unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
             headIsSent || mayRepeat() -> leavePath("status ${info.status}")
