Give layers up only when others hold them

Change: plans are kept until servers come or go; each step loads old and new layers together and gives up old ones after all routers have stopped using them.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
@@ -7,7 +7,6 @@
  * @property bornAtMs Start of the process in Unix milliseconds; tells starts of one id apart.
  * @property accelerator Kind of its accelerator, or null for a plain service.
  * @property layers Layers that it holds, or null if it holds none.
- * @property orderCount Orders that it has accepted since its start.
  */
 data class BackendServer(
     val instanceId: String,
@@ -19,8 +18,7 @@
     val slots: Int,
     val bornAtMs: Long,
     val accelerator: String?,
-    val layers: LayerRange?,
-    val orderCount: Long
+    val layers: LayerRange?
 ) {
     /** `IP:PORT`. */
     val address: String get() = "$host:$port"
@@ -36,6 +34,17 @@
     /** True if all of [other] is inside. */
     fun contains(other: LayerRange): Boolean = from <= other.from && other.to <= to
 
+    /** Layers in both, or null if there are none. */
+    fun intersection(other: LayerRange): LayerRange? =
+        LayerRange(maxOf(from, other.from), minOf(to, other.to)).takeIf { it.size > 0 }
+
+    /** The smallest range that holds both. */
+    fun hull(other: LayerRange): LayerRange =
+        LayerRange(minOf(from, other.from), maxOf(to, other.to))
+
+    /** True if both share a layer or one begins where the other ends. */
+    fun touches(other: LayerRange): Boolean = from <= other.to && other.from <= to
+
     /** True if [layer] is inside. */
     operator fun contains(layer: Int): Boolean = layer in from until to
 
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -4,7 +4,7 @@
 import org.jacinthlink.decision.fleet.LayerRange
 
 /**
- * Layers that each of [servers] should hold, as far as that differs from what it holds.
+ * Layers that each of [servers] should hold.
  *
  * Load patterns: the start of a fleet, and a fleet that loses or gains servers under load. What is
  * loaded stays where it is; only servers near a gap move, until the room for requests in each layer
@@ -12,19 +12,14 @@
  */
 fun planLayout(engine: EngineProfile, servers: List<LayoutServer>): List<Placement> {
     val modelMb = engine.layerCount * engine.layerMb
-    return zoneGroups(servers, modelMb).flatMap { planGroup(engine, it) }
+    return zoneGroups(servers, modelMb).flatMapIndexed { i, group ->
+        planGroup(engine, group).map { it.copy(group = i) }
+    }
 }
 
 private fun planGroup(engine: EngineProfile, group: List<LayoutServer>): List<Placement> {
     val holders = group.filter { it.held != null }
-    val target =
-        if (holders.isEmpty()) {
-            freshLayout(engine, group)
-        } else {
-            repairedLayout(engine, group)
-        }
-    val heldById = group.associate { it.instanceId to it.held }
-    return target.filter { heldById[it.instanceId] != it.layers }
+    return if (holders.isEmpty()) freshLayout(engine, group) else repairedLayout(engine, group)
 }
 
 /** Layout of servers that hold nothing. */
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutRepair.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutRepair.kt
@@ -13,6 +13,7 @@
 ): List<Placement> {
     var chain = group.mapNotNull { server -> server.held?.let { Link(server, it) } }
         .sortedWith(compareBy({ it.layers.from }, { it.layers.to }, { it.server.instanceId }))
+        .withoutOverlaps()
     val empty = group.filter { it.held == null }.sortedBy { it.instanceId }
     for (server in empty) chain = chain.withNewcomer(server, engine)
     while (true) {
@@ -29,6 +30,16 @@
 /** A stretch of layers that no link holds; [index] is the position in the chain of a new link. */
 private data class Gap(val index: Int, val layers: LayerRange)
 
+/** Lets each layer belong to the first link that holds it. */
+private fun List<Link>.withoutOverlaps(): List<Link> {
+    var covered = 0
+    return mapNotNull { link ->
+        val from = maxOf(link.layers.from, covered)
+        covered = maxOf(covered, link.layers.to)
+        link.copy(layers = LayerRange(from, link.layers.to)).takeIf { it.layers.size > 0 }
+    }
+}
+
 private fun List<Link>.firstGap(layerCount: Int): Gap? {
     var covered = 0
     forEachIndexed { i, link ->
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutServer.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutServer.kt
@@ -5,7 +5,7 @@
 /**
  * A model server as the layout sees it.
  *
- * @property held Layers that it holds or is loading, or null.
+ * @property held Layers that it holds or is meant to hold, or null.
  */
 data class LayoutServer(
     val instanceId: String,
@@ -14,5 +14,5 @@
     val held: LayerRange?
 )
 
-/** The wish that a server holds [layers]. */
-data class Placement(val instanceId: String, val layers: LayerRange)
+/** The wish that a server holds [layers] of the copy that the servers of [group] share. */
+data class Placement(val instanceId: String, val layers: LayerRange, val group: Int = 0)
--- a/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
@@ -28,6 +28,11 @@
             return map { it.copy(held = layers[it.instanceId] ?: it.held) }
         }
 
+        fun changes(servers: List<LayoutServer>): List<Placement> {
+            val held = servers.associate { it.instanceId to it.held }
+            return planLayout(engine, servers).filter { held[it.instanceId] != it.layers }
+        }
+
         fun List<LayoutServer>.covers(): Boolean {
             val held = mapNotNull { it.held }
             return (0 until engine.layerCount).all { layer -> held.any { layer in it } }
@@ -49,7 +54,7 @@
             }
 
             it("stays as it is when nothing changes") {
-                planLayout(engine, loaded).shouldBeEmpty()
+                changes(loaded).shouldBeEmpty()
             }
         }
 
@@ -68,7 +73,7 @@
             // Guards against a reload of the whole zone, during which it serves nothing.
             it("moves a part of the zone's servers only") {
                 val lost = loaded.first { it.instanceId == "b-l4-4" }
-                val moved = planLayout(engine, loaded - lost)
+                val moved = changes(loaded - lost)
                 moved.shouldNotBeEmpty()
                 moved.size shouldBeLessThanOrEqual 11
                 moved.all { it.instanceId.startsWith("b-") } shouldBe true
@@ -88,7 +93,7 @@
                 loaded.forEach { lost ->
                     val rest = loaded - lost
                     val repaired = rest.after(planLayout(engine, rest))
-                    planLayout(engine, repaired).shouldBeEmpty()
+                    changes(repaired).shouldBeEmpty()
                 }
             }
         }
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutStepsSpec.kt
@@ -0,0 +1,62 @@
+package org.jacinthlink.decision.layout
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.fleet.TEST_ENGINE
+
+class LayoutStepsSpec :
+    DescribeSpec({
+        fun state(id: String, held: LayerRange?, wanted: LayerRange, isBusy: Boolean = false) =
+            LayoutState(id, 21_600.0, held, wanted, isBusy)
+
+        fun steps(vararg states: LayoutState) = nextSteps(states.toList(), 1_750.0, 6)
+
+        describe("steps towards a layout") {
+            it("are none when all is as wanted") {
+                steps(state("a", LayerRange(0, 5), LayerRange(0, 5))).shouldBeEmpty()
+            }
+
+            // Guards against a zone that serves nothing while its servers move layers.
+            it("load beside what is held before anything is given up") {
+                steps(
+                    state("a", LayerRange(0, 5), LayerRange(0, 4)),
+                    state("b", LayerRange(5, 9), LayerRange(4, 9))
+                ) shouldContainExactly listOf(LayoutStep.Load("b", LayerRange(4, 9)))
+            }
+
+            it("give layers up once another server holds them") {
+                steps(
+                    state("a", LayerRange(0, 5), LayerRange(0, 4)),
+                    state("b", LayerRange(4, 9), LayerRange(4, 9))
+                ) shouldContainExactly listOf(LayoutStep.Release("a", LayerRange(0, 4)))
+            }
+
+            it("wait for an order that is under way") {
+                steps(
+                    state("a", LayerRange(0, 5), LayerRange(0, 4)),
+                    state("b", LayerRange(5, 9), LayerRange(4, 9), isBusy = true)
+                ).shouldBeEmpty()
+            }
+
+            it("load layers that nobody holds first") {
+                val states = (0 until 8).map {
+                    state("s$it", LayerRange(it * 4, it * 4 + 4), LayerRange(it * 4, it * 4 + 5))
+                } + state("t", LayerRange(34, 38), LayerRange(33, 38))
+                val first = nextSteps(states, 1_750.0, 2).map { it.instanceId }
+                first shouldContainExactly listOf("s7", "t")
+            }
+
+            // Guards against a server that is ordered beyond its memory and crashes.
+            it("never load old and new layers together beyond the memory") {
+                val loads =
+                    steps(
+                        state("a", LayerRange(0, 10), LayerRange(6, 16)),
+                        state("b", LayerRange(10, 16), LayerRange(16, 20))
+                    )
+                loads.all { it.layers.size * TEST_ENGINE.layerMb <= 21_600.0 } shouldBe true
+            }
+        }
+    })
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
@@ -14,7 +14,7 @@
         fun server(id: String, zone: String, from: Int, to: Int) =
             BackendServer(
                 id, "model", "10.0.0.${id.hashCode() and 0xff}", 8_000 + from, zone,
-                ServerState.READY, 134, 0, "a100s", LayerRange(from, to), 1
+                ServerState.READY, 134, 0, "a100s", LayerRange(from, to)
             )
 
         fun ServingPath.layers() = parts.map { it.layers.toString() }
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -11,7 +11,9 @@
 import org.jacinthlink.router.beliefs.ServerDirectory
 import org.jacinthlink.router.layout.DutyElection
 import org.jacinthlink.router.layout.DutyLease
+import org.jacinthlink.router.layout.LayerOrders
 import org.jacinthlink.router.layout.LayoutDuty
+import org.jacinthlink.router.peers.LayerLimit
 import org.jacinthlink.router.peers.LayerNews
 import org.jacinthlink.router.peers.PeerExchange
 import org.jacinthlink.router.peers.PeerNews
@@ -45,8 +47,10 @@
     private val streams = StreamBook(log, ::checkPath)
     private val lease =
         DutyLease(loop, store, log, DUTY_KEY, settings.instance, DUTY_TTL_MS)
+    private val orders =
+        LayerOrders(loop, engines, servers, faults, log, clockMs) { lease.lose("fenced by $it") }
     private val duty =
-        LayoutDuty(loop, engines, configuration, servers, faults, lease, log, clockMs)
+        LayoutDuty(configuration, servers, faults, lease, orders, log, clockMs)
     private val context =
         RelayContext(
             loop, http, log, servers, faults, paths, ledger(), { peers.alive.size + 1 }, clockMs
@@ -135,21 +139,27 @@
             storeAgeMs = storeAgeMs(),
             failed = faults.failed.toList(),
             usedTokens = paths.ownTokens,
-            layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map {
+            layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map { (server, atMs) ->
                 LayerNews(
-                    it.instanceId,
-                    it.bornAtMs,
-                    it.orderCount,
-                    it.layers?.from ?: 0,
-                    it.layers?.to ?: 0
+                    server.instanceId,
+                    server.bornAtMs,
+                    clockMs() - atMs,
+                    server.layers?.from ?: 0,
+                    server.layers?.to ?: 0
                 )
-            }
+            },
+            limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
         )
 
     private fun heard(news: PeerNews) {
         news.layers.forEach {
             val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
-            servers.learnLayers(it.instanceId, it.bornAtMs, it.orderCount, layers)
+            servers.learnLayers(it.instanceId, it.bornAtMs, layers, clockMs() - it.ageMs)
+        }
+        if (news.dutyToken != null && lease.fencingToken == null) {
+            servers.limitLayers(
+                news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
+            )
         }
         news.failed.filter { !faults.isFailed(it) }.forEach { address ->
             servers.at(address)?.let { faults.check(it, "reported by ${news.instance}") }
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -19,13 +19,16 @@
     private val servers = LinkedHashMap<String, BackendServer>()
     private val missingSinceMs = HashMap<String, Long>()
     private val learntAtMs = HashMap<String, Long>()
+    private var limits = emptyMap<String, LayerRange>()
 
     /** All servers that may be used or are leaving. */
     val all: List<BackendServer> get() = servers.values.toList()
 
-    /** Servers of [service] that take new work. */
+    /** Servers of [service] that take new work, with the layers that may be used. */
     fun ready(service: String): List<BackendServer> =
-        servers.values.filter { it.service == service && it.state == ServerState.READY }
+        servers.values
+            .filter { it.service == service && it.state == ServerState.READY }
+            .map { it.limited() }
 
     /** Server at [address], or null. */
     fun at(address: String): BackendServer? = servers.values.lastOrNull { it.address == address }
@@ -35,13 +38,8 @@
 
     override fun onSnapshot(items: List<StoreItem>) {
         val seen = items.mapNotNull { decode(it) }
-        seen.forEach { put(it) }
-        val nowMs = clockMs()
-        val seenIds = seen.map { it.instanceId }.toSet()
-        // Entries that lapsed during an outage of the store come back within about two seconds.
-        servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
-        log.event("servers_read", "count" to seen.size, "missing" to missingSinceMs.size)
-        onChanged()
+        log.event("servers_read", "count" to seen.size, "known" to servers.size)
+        follow(seen)
     }
 
     override fun onChange(change: StoreChange) {
@@ -52,9 +50,20 @@
         onChanged()
     }
 
-    /** Servers whose layers were learnt from themselves since [sinceMs]. */
-    fun learntSince(sinceMs: Long): List<BackendServer> =
-        learntAtMs.filterValues { it >= sinceMs }.keys.mapNotNull { servers[it] }
+    /** Takes [seen] as all servers that there are; those that are missing have some time left. */
+    fun follow(seen: List<BackendServer>) {
+        seen.forEach { put(it) }
+        val nowMs = clockMs()
+        val seenIds = seen.map { it.instanceId }.toSet()
+        servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
+        onChanged()
+    }
+
+    /** Servers whose layers were learnt from themselves since [sinceMs], and when. */
+    fun learntSince(sinceMs: Long): Map<BackendServer, Long> =
+        learntAtMs.filterValues { it >= sinceMs }
+            .mapNotNull { (id, atMs) -> servers[id]?.let { it to atMs } }
+            .toMap()
 
     /** Drops servers whose entries have not come back. */
     fun expire(nowMs: Long) {
@@ -64,51 +73,49 @@
         onChanged()
     }
 
-    /** Takes what a server itself or a peer says of its layers, if that is newer. */
-    fun learnLayers(
-        instanceId: String,
-        bornAtMs: Long,
-        orderCount: Long,
-        layers: LayerRange?
-    ): Boolean {
-        val known = servers[instanceId] ?: return false
-        val isNewer = bornAtMs > known.bornAtMs ||
-            bornAtMs == known.bornAtMs && orderCount >= known.orderCount
-        if (!isNewer || known.layers == layers && known.orderCount == orderCount) return false
-        servers[instanceId] =
-            known.copy(bornAtMs = bornAtMs, orderCount = orderCount, layers = layers)
-        learntAtMs[instanceId] = clockMs()
+    /** Takes what a server itself said of its layers at [saidAtMs], if that is newer. */
+    fun learnLayers(instanceId: String, bornAtMs: Long, layers: LayerRange?, saidAtMs: Long) {
+        val known = servers[instanceId] ?: return
+        val learntBefore = learntAtMs[instanceId] ?: Long.MIN_VALUE
+        if (bornAtMs < known.bornAtMs) return
+        if (bornAtMs == known.bornAtMs && saidAtMs < learntBefore) return
+        learntAtMs[instanceId] = saidAtMs
+        if (known.layers == layers && known.bornAtMs == bornAtMs) return
+        servers[instanceId] = known.copy(bornAtMs = bornAtMs, layers = layers)
         log.event(
             "layers_learnt",
             "server" to instanceId,
-            "orders" to orderCount,
-            "layers" to (layers ?: "none")
+            "layers" to (layers ?: "none"),
+            "age_ms" to clockMs() - saidAtMs
         )
         onChanged()
-        return true
     }
 
-    /** Takes the servers that a peer knows, while the store is out of reach. */
-    fun follow(seen: List<BackendServer>) {
-        seen.forEach { put(it) }
-        val seenIds = seen.map { it.instanceId }.toSet()
-        servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, clockMs()) }
+    /** Uses no more of each server than its range in [next], which is about to be given up. */
+    fun limitLayers(next: Map<String, LayerRange>) {
+        if (next == limits) return
+        limits = next
         onChanged()
     }
 
+    private fun BackendServer.limited(): BackendServer {
+        val limit = limits[instanceId] ?: return this
+        return copy(layers = layers?.intersection(limit))
+    }
+
     private fun put(next: BackendServer) {
         missingSinceMs.remove(next.instanceId)
         val known = servers[next.instanceId]
-        val isOlder = known != null && known.bornAtMs == next.bornAtMs &&
-            known.orderCount > next.orderCount
+        val learntMs = learntAtMs[next.instanceId]
+        val isLearntLately = learntMs != null && clockMs() - learntMs < ENTRY_AGE_MS
         val merged =
-            if (known != null && isOlder) {
-                next.copy(layers = known.layers, orderCount = known.orderCount)
+            if (known != null && known.bornAtMs == next.bornAtMs && isLearntLately) {
+                next.copy(layers = known.layers)
             } else {
                 next
             }
         servers[next.instanceId] = merged
-        if (known == null || known.state != merged.state || known.bornAtMs != merged.bornAtMs) {
+        if (known?.copy(slots = 0) != merged.copy(slots = 0)) {
             log.event(
                 "server_known",
                 "server" to next.instanceId,
@@ -140,5 +147,8 @@
     private companion object {
         /** Entries of living servers are back within about 2 s of the store's return. */
         const val MISSING_GRACE_MS = 2_200L
+
+        /** An entry may be as old as two heartbeats; what a server said since goes first. */
+        const val ENTRY_AGE_MS = 2_500L
     }
 }
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -0,0 +1,142 @@
+package org.jacinthlink.router.layout
+
+import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.platform.fleet.EngineClient
+import org.jacinthlink.platform.fleet.EngineReport
+import org.jacinthlink.platform.fleet.OrderAnswer
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.relay.FaultWatch
+import org.jacinthlink.transport.EventLoop
+
+/** Orders to engines, each followed until the engine reports that it is done. */
+internal class LayerOrders(
+    private val loop: EventLoop,
+    private val engines: EngineClient,
+    private val servers: ServerDirectory,
+    private val faults: FaultWatch,
+    private val log: DecisionLog,
+    private val clockMs: () -> Long,
+    private val onFenced: (instanceId: String) -> Unit
+) {
+    private val underWay = HashMap<String, Order>()
+
+    /** Engines that give layers up, and what may still be used of them. */
+    val limits: Map<String, LayerRange>
+        get() = underWay.filterValues { it.isRelease }.mapValues { it.value.layers }
+
+    /** True while [instanceId] carries out an order. */
+    fun isUnderWay(instanceId: String): Boolean = instanceId in underWay
+
+    /** Forgets orders to servers that are not among [instanceIds]. */
+    fun retain(instanceIds: Set<String>) {
+        underWay.keys.retainAll(instanceIds)
+    }
+
+    /** Forgets all orders. */
+    fun clear() {
+        underWay.clear()
+    }
+
+    /** Lets [server] load layers until it holds [layers]. */
+    fun load(server: BackendServer, layers: LayerRange, token: Long) {
+        val order = Order(layers, isRelease = false, token, clockMs())
+        underWay[server.instanceId] = order
+        send(server, order)
+    }
+
+    /** Lets [server] give layers up, after all routers have stopped using them. */
+    fun release(server: BackendServer, layers: LayerRange, token: Long) {
+        val order = Order(layers, isRelease = true, token, clockMs())
+        underWay[server.instanceId] = order
+        loop.schedule(NEWS_MS) { if (underWay[server.instanceId] === order) send(server, order) }
+    }
+
+    private fun send(server: BackendServer, order: Order) {
+        engines.place(server, order.layers, order.token, null) { answer ->
+            log.event(
+                "layers_ordered",
+                "server" to server.instanceId,
+                "address" to server.address,
+                "held" to (server.layers ?: "none"),
+                "wanted" to order.layers,
+                "token" to order.token,
+                "answer" to answer
+            )
+            when (answer) {
+                OrderAnswer.Begun, OrderAnswer.AlreadyDone -> followLater(server, order)
+                OrderAnswer.Fenced -> onFenced(server.instanceId)
+                else -> loop.schedule(RETRY_MS) { end(server, order) }
+            }
+        }
+    }
+
+    private fun followLater(server: BackendServer, order: Order) {
+        loop.schedule(FOLLOW_MS) {
+            if (underWay[server.instanceId] === order) follow(server, order)
+        }
+    }
+
+    private fun follow(server: BackendServer, order: Order) {
+        engines.report(server, REPORT_TIMEOUT_MS) { report ->
+            when {
+                underWay[server.instanceId] !== order -> Unit
+                report == null -> {
+                    faults.check(server, "silent after an order")
+                    end(server, order)
+                }
+                isDone(report, order) -> {
+                    servers.learnLayers(
+                        server.instanceId, report.bornAtMs, report.layers, clockMs()
+                    )
+                    end(server, order)
+                }
+                isLost(report, order) -> {
+                    log.event(
+                        "order_lost",
+                        "server" to server.instanceId,
+                        "wanted" to order.layers,
+                        "layers" to (report.layers ?: "none")
+                    )
+                    end(server, order)
+                }
+                else -> followLater(server, order)
+            }
+        }
+    }
+
+    private fun isDone(report: EngineReport, order: Order): Boolean =
+        !report.isChangingLayers && report.layers == order.layers
+
+    /** True if the engine has had time to begin and is not at work. */
+    private fun isLost(report: EngineReport, order: Order): Boolean {
+        val ageMs = clockMs() - order.givenAtMs
+        return !report.isChangingLayers && ageMs > BEGIN_LIMIT_MS || ageMs > ORDER_LIMIT_MS
+    }
+
+    private fun end(server: BackendServer, order: Order) {
+        underWay.remove(server.instanceId, order)
+    }
+
+    private class Order(
+        val layers: LayerRange,
+        val isRelease: Boolean,
+        val token: Long,
+        val givenAtMs: Long
+    )
+
+    private companion object {
+        /** Within this time the news of a release have reached the other routers. */
+        const val NEWS_MS = 300L
+        const val FOLLOW_MS = 120L
+        const val REPORT_TIMEOUT_MS = 300L
+        const val RETRY_MS = 400L
+
+        /** A report is some hundred ms old, so it may come from before the order. */
+        const val BEGIN_LIMIT_MS = 1_500L
+
+        /** Loading all layers takes 14 s; an order that takes longer is given anew. */
+        const val ORDER_LIMIT_MS = 20_000L
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -14,6 +14,7 @@
  * @property failed Addresses that the sender takes as failed.
  * @property usedTokens Tokens of requests on the path of each zone.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
+ * @property limits Layers that engines are about to give up, from the holder of the duty.
  * @property peers Hosts of some other routers.
  */
 @Serializable
@@ -28,15 +29,20 @@
     val failed: List<String> = emptyList(),
     val usedTokens: Map<String, Long> = emptyMap(),
     val layers: List<LayerNews> = emptyList(),
+    val limits: List<LayerLimit> = emptyList(),
     val peers: List<String> = emptyList()
 )
 
-/** Layers of one engine; [from] equals [to] if it holds none. */
+/** Layers of one engine, as it said [ageMs] ago; [from] equals [to] if it holds none. */
 @Serializable
 internal data class LayerNews(
     val instanceId: String,
     val bornAtMs: Long,
-    val orderCount: Long,
+    val ageMs: Long,
     val from: Int,
     val to: Int
 )
+
+/** An engine of which only the layers [from] up to [to] may still be used. */
+@Serializable
+internal data class LayerLimit(val instanceId: String, val from: Int, val to: Int)
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotEndpoint.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotEndpoint.kt
@@ -27,8 +27,7 @@
     val bornAtMs: Long,
     val accelerator: String? = null,
     val layersFrom: Int = 0,
-    val layersTo: Int = 0,
-    val orderCount: Long = 0
+    val layersTo: Int = 0
 )
 
 /** Serves the present [PeerSnapshot] under any path. */
@@ -53,7 +52,7 @@
 private fun BackendServer.toPeerServer() =
     PeerServer(
         instanceId, service, host, port, zone, state == ServerState.READY, slots, bornAtMs,
-        accelerator, layers?.from ?: 0, layers?.to ?: 0, orderCount
+        accelerator, layers?.from ?: 0, layers?.to ?: 0
     )
 
 /** The server as the directory holds it. */
@@ -62,8 +61,7 @@
         instanceId, service, host, port, zone,
         if (isReady) ServerState.READY else ServerState.DRAINING,
         slots, bornAtMs, accelerator,
-        if (layersTo > layersFrom) LayerRange(layersFrom, layersTo) else null,
-        orderCount
+        if (layersTo > layersFrom) LayerRange(layersFrom, layersTo) else null
     )
 
 private const val OK = 200
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -41,12 +41,12 @@
             if (report == null) {
                 fail(server.address, cause)
             } else {
-                servers.learnLayers(
-                    server.instanceId,
-                    report.bornAtMs,
-                    report.orderCount,
-                    report.layers
-                )
+                if (!report.isChangingLayers) {
+                    val saidAtMs = clockMs() - REPORT_LAG_MS
+                    servers.learnLayers(
+                        server.instanceId, report.bornAtMs, report.layers, saidAtMs
+                    )
+                }
                 recovered(server.address)
             }
         }
@@ -74,6 +74,9 @@
     private companion object {
         const val RECHECK_MS = 400L
 
+        /** A report tells the state of some hundred ms ago. */
+        const val REPORT_LAG_MS = 300L
+
         /** An engine answers in a few ms; a lost packet is sent again after about 200 ms. */
         const val CHECK_TIMEOUT_MS = 120L
     }
