Split a damaged zone anew in its present order, resume at servers already used

Change: a group with a gap or a tight part is split in proportion to memory in its present order, spares in the place of the lost; a stream goes on at a server that has not run it only within its route's bound.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -3,12 +3,16 @@
 import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
 
+/** A layout is kept while its tightest part has this share of the room that it could have. */
+private const val MIN_ROOM_SHARE = 0.7
+
 /**
- * Layers that each of [servers] should hold.
+ * Layers that each of [servers] should hold; a server that is not named is a spare.
  *
- * Load patterns: the start of a fleet, and a fleet that loses or gains servers under load. What is
- * loaded stays where it is; only servers near a gap move, until the room for requests in each layer
- * is close to that of the whole group.
+ * Load patterns: the start of a fleet, and a fleet that loses or gains servers under load. A group
+ * that holds all layers with enough room stays as it is, because each move takes a part of it out
+ * of use. Otherwise all its servers share the layers anew in their present order, a newcomer in the
+ * place of a lost one, so that most layers stay where they are.
  */
 fun planLayout(engine: EngineProfile, servers: List<LayoutServer>): List<Placement> {
     val modelMb = engine.layerCount * engine.layerMb
@@ -18,20 +22,25 @@
 }
 
 private fun planGroup(engine: EngineProfile, group: List<LayoutServer>): List<Placement> {
-    val holders = group.filter { it.held != null }
-    return if (holders.isEmpty()) freshLayout(engine, group) else repairedLayout(engine, group)
+    val chain = chainOf(group)
+    val spares = group.filter { server -> chain.none { it.server === server } }
+    val present = chain.map { Placement(it.server.instanceId, it.layers) }
+    val ordered = chain.withSpares(spares, engine.layerCount)
+    val ideal = splitAnew(engine, ordered) ?: return present
+    val isWhole = chain.firstGap(engine.layerCount) == null
+    val isRoomy = chain.roomTokens(engine) >= ideal.roomTokens(engine) * MIN_ROOM_SHARE
+    return if (isWhole && isRoomy) present else ideal.map { Placement(it.server.instanceId, it.layers) }
 }
 
-/** Layout of servers that hold nothing. */
-private fun freshLayout(engine: EngineProfile, group: List<LayoutServer>): List<Placement> {
-    val ordered = group.sortedWith(compareByDescending<LayoutServer> { it.memoryMb }.thenBy { it.instanceId })
-    val parts =
-        splitByMemory(
-            LayerRange(0, engine.layerCount),
-            ordered.map { it.memoryMb },
-            engine.layerMb
-        ) ?: return emptyList()
-    return ordered.zip(parts).mapNotNull { (server, part) ->
-        part?.let { Placement(server.instanceId, it) }
-    }
+private fun splitAnew(engine: EngineProfile, servers: List<LayoutServer>): List<Link>? {
+    val range = LayerRange(0, engine.layerCount)
+    val parts = splitByMemory(range, servers.map { it.memoryMb }, engine.layerMb) ?: return null
+    return servers.zip(parts).mapNotNull { (server, part) -> part?.let { Link(server, it) } }
 }
+
+/** Tokens of requests that the tightest link has room for. */
+private fun List<Link>.roomTokens(engine: EngineProfile): Double =
+    minOfOrNull { link ->
+        val roomMb = link.server.memoryMb - link.layers.size * engine.layerMb
+        roomMb / (link.layers.size * engine.tokenLayerMb)
+    } ?: 0.0
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -40,11 +40,11 @@
     fun choose(
         service: ServiceDefinition,
         failed: Set<String>,
-        tried: Set<String>,
         tokens: Long,
-        nowMs: Long
+        nowMs: Long,
+        mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
-        val all = paths(service, failed).filter { it.first.address !in tried }
+        val all = paths(service, failed).filter(mayUse)
         val usable = all.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }.ifEmpty { all }
         val straight = usable.filter { it.crossings == 0 }.ifEmpty { usable }
         return straight.minByOrNull { load(it, tokens) }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -17,7 +17,7 @@
     private val job: RelayRequest
 ) {
     private val tokens: Long = expectedTokens()
-    private val tried = mutableSetOf<String>()
+    private val ranOn = mutableSetOf<String>()
     private var send: Send? = null
     private var runs = 0
     private var sends = 0
@@ -28,6 +28,7 @@
     private var retry: Timer? = null
     private var isDone = false
     private var firstEventAtMs: Long? = null
+    private var lastEventAtMs: Long? = null
 
     /** Zone of the path in use, or null. */
     val home: String? get() = send?.path?.home
@@ -56,9 +57,9 @@
 
     private fun sendNext(cause: String) {
         val nowMs = context.clockMs()
-        val failed = context.faults.failed
-        val path = context.paths.choose(job.service, failed, tried, tokens, nowMs)
-            ?: context.paths.choose(job.service, failed, emptySet(), tokens, nowMs)
+        val path = context.paths.choose(job.service, context.faults.failed, tokens, nowMs) {
+            mayUse(it)
+        }
         when {
             path == null -> waitForPath()
             sends > 0 && !context.ledger.tryRepeat(nowMs, context.instanceCount()) ->
@@ -67,9 +68,17 @@
         }
     }
 
+    /** A request may run on a bounded number of servers; one that has failed does not count. */
+    private fun mayUse(path: ServingPath): Boolean {
+        val counted = ranOn.filter { !context.faults.isFailed(it) }
+        return path.first.address in counted || counted.size < job.route.maxAttempts
+    }
+
     private fun waitForPath() {
-        val waitedMs = context.clockMs() - job.startedAtMs
-        if (events == 0 && sends == 0 && waitedMs > job.route.targetLatencyMs / 2) {
+        val nowMs = context.clockMs()
+        val silentMs = nowMs - (lastEventAtMs ?: job.startedAtMs)
+        val limitMs = if (sends == 0) job.route.targetLatencyMs / 2 else MAX_SILENCE_MS
+        if (silentMs > limitMs) {
             giveUp("no path")
         } else {
             retry = context.loop.schedule(PATH_WAIT_MS) { if (!isDone) sendNext("path awaited") }
@@ -80,7 +89,6 @@
         if (sends == 0) context.ledger.onFirstSend(nowMs)
         sends++
         runs++
-        tried.add(path.first.address)
         context.log.event(
             "sent",
             "request" to job.id,
@@ -138,6 +146,7 @@
         val whole = current.splitter.feed(part).filter { isNext(it) }
         if (whole.isEmpty()) return
         current.lastSignAtMs = context.clockMs()
+        lastEventAtMs = current.lastSignAtMs
         current.hasEvents = true
         startAnswer(current)
         whole.forEach { event ->
@@ -182,6 +191,7 @@
     }
 
     private fun sendFailed(current: Send, cause: String) {
+        if (!current.wasUnsent) ranOn.add(current.path.first.address)
         context.log.event(
             "send_failed",
             "request" to job.id,
@@ -193,7 +203,7 @@
         if (mayRepeat()) sendNext(cause) else giveUp(cause)
     }
 
-    private fun mayRepeat(): Boolean = job.route.isIdempotent && runs < job.route.maxAttempts + 1
+    private fun mayRepeat(): Boolean = job.route.isIdempotent && sends < MAX_SENDS
 
     private fun giveUp(cause: String) {
         when {
@@ -265,6 +275,7 @@
         val errorBody = java.io.ByteArrayOutputStream()
         var lastSignAtMs = startedAtMs
         var hasEvents = false
+        var wasUnsent = false
 
         override fun onHead(status: Int, headers: List<HeaderField>) {
             info = answerInfo(status, headers)
@@ -285,6 +296,7 @@
             ended(this)
             if (failure == CallFailure.NOT_CONNECTED) {
                 runs--
+                wasUnsent = true
                 context.faults.check(path.first, "not connected")
             }
             if (failure == CallFailure.CONNECTION_LOST) {
@@ -299,7 +311,10 @@
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
-        const val MAX_SENDS = 6
+        const val MAX_SENDS = 12
+
+        /** Callers give a silent stream up after two seconds. */
+        const val MAX_SILENCE_MS = 1_900L
         const val PATH_WAIT_MS = 50L
 
         /** A path that turned a request away is not tried again at once. */
