Let streams wait for room, share the retry budget by news, move a broken zone at once

A broken zone kept old and new layers together for 4 s, with little room. Change: first sends wait for room by class and age; the budget's rest is shared by the newest counts; a zone without a layer moves all servers at once; memory counts what is held until it is given up.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
@@ -7,6 +7,7 @@
  * @property bornAtMs Start of the process in Unix milliseconds; tells starts of one id apart.
  * @property accelerator Kind of its accelerator, or null for a plain service.
  * @property layers Layers that it holds, or null if it holds none.
+ * @property usableLayers Those of [layers] that it is not about to give up.
  */
 data class BackendServer(
     val instanceId: String,
@@ -18,7 +19,8 @@
     val slots: Int,
     val bornAtMs: Long,
     val accelerator: String?,
-    val layers: LayerRange?
+    val layers: LayerRange?,
+    val usableLayers: LayerRange? = layers
 ) {
     /** `IP:PORT`. */
     val address: String get() = "$host:$port"
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayerShares.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayerShares.kt
@@ -4,10 +4,13 @@
 import org.jacinthlink.decision.fleet.LayerRange
 
 /**
- * Splits [range] among servers in their order, in proportion to their memory.
+ * Splits [range] among servers in their order, so that the tightest share has as much room for
+ * requests in each layer as possible.
  *
- * No share exceeds what the memory of its server holds. Returns null if all memory together does
- * not hold the range. A server may get no layer, which is a null in the list.
+ * Layers are handed out one by one to the server with the most memory for each layer that it would
+ * then hold (the method of highest averages). No share exceeds the memory of its server. Returns
+ * null if all memory together does not hold the range. A server may get no layer, which is a null
+ * in the list.
  */
 internal fun splitByMemory(
     range: LayerRange,
@@ -16,13 +19,10 @@
 ): List<LayerRange?>? {
     val most = memoryMb.map { floor(it / layerMb).toInt() }
     if (most.sum() < range.size) return null
-    val totalMb = memoryMb.sum()
-    val exact = memoryMb.map { range.size * it / totalMb }
-    val counts = exact.mapIndexed { i, share -> minOf(floor(share).toInt(), most[i]) }
-        .toMutableList()
-    while (counts.sum() < range.size) {
+    val counts = IntArray(memoryMb.size)
+    repeat(range.size) {
         val next = counts.indices.filter { counts[it] < most[it] }
-            .maxBy { exact[it] - counts[it] }
+            .maxBy { memoryMb[it] / (counts[it] + 1) }
         counts[next]++
     }
     var at = range.from
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -6,7 +6,7 @@
  * What a server holds and is meant to hold.
  *
  * @property held Layers that it holds now, or null.
- * @property wanted Layers that it is meant to hold.
+ * @property wanted Layers that it is meant to hold, or null if it is a spare or leaves.
  * @property isBusy True while it carries out an order.
  * @property group The servers that share a copy of the model.
  */
@@ -14,7 +14,7 @@
     val instanceId: String,
     val memoryMb: Double,
     val held: LayerRange?,
-    val wanted: LayerRange,
+    val wanted: LayerRange?,
     val isBusy: Boolean,
     val group: Int = 0
 )
@@ -24,7 +24,7 @@
     val instanceId: String
     val layers: LayerRange
 
-    /** Loads layers beside those that are held. */
+    /** Loads layers. */
     data class Load(override val instanceId: String, override val layers: LayerRange) : LayoutStep
 
     /** Gives layers up that others hold. */
@@ -38,8 +38,9 @@
 /**
  * The orders that can be given now, the most urgent first.
  *
- * Load pattern: a server is lost under load. Layers are given up only when others hold them, so
- * paths stay whole while the rest of the zone moves closer; layers that nobody holds come first.
+ * Load pattern: a server is lost under load. Where a layer is held by nobody, nothing passes
+ * through the group, so all its servers move at once. Otherwise layers are given up only when
+ * others hold them, so paths stay whole while the group moves.
  *
  * @param loadsAtOnce Loads that run side by side without slowing each other.
  */
@@ -48,47 +49,53 @@
     layerMb: Double,
     loadsAtOnce: Int
 ): List<LayoutStep> {
-    val steps = states.groupBy { it.group }.values.flatMap { groupSteps(it, layerMb) }
-    val (loads, releases) = steps.partition { it.step is LayoutStep.Load }
-    val running = states.count { it.isBusy }
-    val urgentFirst = loads.sortedByDescending { it.missingCount }
-    return releases.map { it.step } +
-        urgentFirst.take((loadsAtOnce - running).coerceAtLeast(0)).map { it.step }
+    val (broken, whole) = states.groupBy { it.group }.values.partition { it.isBroken() }
+    val moves = broken.flatten().filter { !it.isBusy }.mapNotNull { directStep(it) }
+    val steps = whole.flatMap { wholeGroupSteps(it, layerMb) }
+    val (loads, releases) = steps.partition { it is LayoutStep.Load }
+    val running = states.count { it.isBusy } + moves.size
+    return moves + releases + loads.take((loadsAtOnce - running).coerceAtLeast(0))
 }
 
-/** A step and the number of its layers that nobody in the group holds. */
-private class RankedStep(val step: LayoutStep, val missingCount: Int)
+private fun List<LayoutState>.isBroken(): Boolean {
+    val layerCount = maxOf { maxOf(it.wanted?.to ?: 0, it.held?.to ?: 0) }
+    return (0 until layerCount).any { layer -> none { it.holds(layer) } }
+}
 
-private fun groupSteps(states: List<LayoutState>, layerMb: Double): List<RankedStep> {
-    val missing = missingLayers(states)
-    return states.filter { !it.isBusy }
-        .mapNotNull { step(it, states, layerMb, missing) }
-        .map { step -> RankedStep(step, missing.count { it in step.layers }) }
+private fun directStep(state: LayoutState): LayoutStep? {
+    val wanted = state.wanted ?: return null
+    return if (state.held == wanted) null else LayoutStep.Load(state.instanceId, wanted)
 }
 
-private fun missingLayers(states: List<LayoutState>): List<Int> {
-    val layerCount = states.maxOfOrNull { it.wanted.to } ?: 0
-    return (0 until layerCount).filter { layer -> states.none { it.holds(layer) } }
+private fun wholeGroupSteps(states: List<LayoutState>, layerMb: Double): List<LayoutStep> {
+    val staying = states.filter { it.wanted != null }
+    val isLeaving = { layer: Int -> staying.none { it.holds(layer) } }
+    return staying.filter { !it.isBusy }
+        .sortedByDescending { state -> state.newLayers().count(isLeaving) }
+        .mapNotNull { step(it, staying, layerMb, isLeaving) }
 }
 
+private fun LayoutState.newLayers(): List<Int> =
+    wanted?.let { (it.from until it.to).filter { layer -> !holds(layer) } }.orEmpty()
+
 private fun step(
     state: LayoutState,
     states: List<LayoutState>,
     layerMb: Double,
-    missing: List<Int>
+    isLeaving: (Int) -> Boolean
 ): LayoutStep? {
-    val held = state.held ?: return LayoutStep.Load(state.instanceId, state.wanted)
-    if (held == state.wanted) return null
-    val isSpare = isHeldElsewhere(state, held, states)
-    val both = held.hull(state.wanted)
-    val fitsBoth = held.touches(state.wanted) &&
-        both.size * layerMb <= state.memoryMb * MAX_MEMORY_SHARE
+    val wanted = state.wanted ?: return null
+    val held = state.held ?: return LayoutStep.Load(state.instanceId, wanted)
+    if (held == wanted) return null
+    val isSpare = isHeldElsewhere(state, held, wanted, states)
+    val both = held.hull(wanted)
+    val fitsBoth =
+        held.touches(wanted) && both.size * layerMb <= state.memoryMb * MAX_MEMORY_SHARE
     return when {
-        held.contains(state.wanted) ->
-            if (isSpare) LayoutStep.Release(state.instanceId, state.wanted) else null
+        held.contains(wanted) ->
+            if (isSpare) LayoutStep.Release(state.instanceId, wanted) else null
         fitsBoth -> LayoutStep.Load(state.instanceId, both)
-        isSpare || missing.any { it in state.wanted } ->
-            LayoutStep.Load(state.instanceId, state.wanted)
+        isSpare || state.newLayers().any(isLeaving) -> LayoutStep.Load(state.instanceId, wanted)
         else -> null
     }
 }
@@ -97,10 +104,11 @@
 private fun isHeldElsewhere(
     state: LayoutState,
     held: LayerRange,
+    wanted: LayerRange,
     states: List<LayoutState>
 ): Boolean =
-    (held.from until held.to).filter { it !in state.wanted }.all { layer ->
-        states.any { it !== state && layer in it.wanted && it.holds(layer) }
+    (held.from until held.to).filter { it !in wanted }.all { layer ->
+        states.any { it !== state && it.wanted?.contains(layer) == true && it.holds(layer) }
     }
 
 private fun LayoutState.holds(layer: Int): Boolean = held != null && layer in held
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -43,7 +43,7 @@
 ): List<ServingPath> {
     val usable =
         servers.filter { it.state == ServerState.READY && it.address !in avoided }
-            .filter { it.layers != null }
+            .filter { it.usableLayers != null }
     return usable.map { it.zone }.distinct().sorted().mapNotNull { zone ->
         coveringParts(engine, usable, zone)?.let { servingPath(engine, zone, it) }
     }
@@ -91,10 +91,10 @@
 
 private fun roomTokens(engine: EngineProfile, part: PathPart): Long {
     val memoryMb = engine.accelerators[part.server.accelerator]?.memoryMb ?: 0.0
-    val roomMb = memoryMb - part.server.range().size * engine.layerMb
+    val roomMb = memoryMb - (part.server.layers?.size ?: 0) * engine.layerMb
     return (roomMb / (part.layers.size * engine.tokenLayerMb)).toLong().coerceAtLeast(0)
 }
 
-private fun BackendServer.range(): LayerRange = layers ?: EMPTY_RANGE
+private fun BackendServer.range(): LayerRange = usableLayers ?: EMPTY_RANGE
 
 private val EMPTY_RANGE = LayerRange(0, 0)
--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
@@ -1,10 +1,19 @@
 package org.jacinthlink.decision.retry
 
 /**
- * This instance's part of the budget of repeated sends that all instances share.
+ * Sends within the present window.
  *
- * Load pattern: many streams lose their backend server at once, on all instances. The fixed part of
- * the budget is divided among the instances, so their sum keeps the bound without messages.
+ * @property first First sends of requests.
+ * @property repeats Sends beyond the first.
+ */
+data class SendCounts(val first: Int, val repeats: Int)
+
+/**
+ * This instance's use of the budget of repeated sends that all instances share.
+ *
+ * Load pattern: many streams lose their backend server at once, on all instances. What is left of
+ * the budget by the newest word of the others is divided among the instances until they are heard
+ * again, so the sum keeps the bound although each knows the others' use a little late.
  *
  * @property windowMs Length of the sliding window.
  * @property ratio Repeats for each first send in the window.
@@ -17,22 +26,45 @@
 ) {
     private val firstSendsMs = ArrayDeque<Long>()
     private val repeatsMs = ArrayDeque<Long>()
+    private var others = SendCounts(0, 0)
+    private var otherCount = 0
+    private var repeatsSinceNews = 0
+    private var shareUntilNews = 0.0
+
+    /** Sends of this instance within the window. */
+    fun counts(nowMs: Long): SendCounts {
+        forget(nowMs)
+        return SendCounts(firstSendsMs.size, repeatsMs.size)
+    }
 
     /** Notes the first send of a request. */
     fun onFirstSend(nowMs: Long) {
-        forget(nowMs)
         firstSendsMs.addLast(nowMs)
     }
 
-    /** Takes one repeat if the part of one among [instanceCount] instances allows it. */
-    fun tryRepeat(nowMs: Long, instanceCount: Int): Boolean {
-        forget(nowMs)
-        val allowed = ratio * firstSendsMs.size + extra * SAFETY / instanceCount.coerceAtLeast(1)
-        if (repeatsMs.size + 1 > allowed) return false
+    /** Takes the counts of the [count] other instances together. */
+    fun onNews(counts: SendCounts, count: Int, nowMs: Long) {
+        others = counts
+        otherCount = count
+        repeatsSinceNews = 0
+        shareUntilNews = left(nowMs) / (count + 1)
+    }
+
+    /** Takes one repeat if the budget allows it. */
+    fun tryRepeat(nowMs: Long): Boolean {
+        if (otherCount == 0) shareUntilNews = left(nowMs) + repeatsSinceNews
+        if (repeatsSinceNews + 1 > shareUntilNews) return false
+        repeatsSinceNews++
         repeatsMs.addLast(nowMs)
         return true
     }
 
+    private fun left(nowMs: Long): Double {
+        val own = counts(nowMs)
+        val allowed = ratio * (own.first + others.first) * SAFETY + extra * SAFETY
+        return (allowed - own.repeats - others.repeats).coerceAtLeast(0.0)
+    }
+
     private fun forget(nowMs: Long) {
         while (firstSendsMs.isNotEmpty() && firstSendsMs.first() <= nowMs - windowMs) {
             firstSendsMs.removeFirst()
@@ -43,8 +75,8 @@
     }
 
     private companion object {
-        /** Left unused, because instances learn late of one another. */
-        const val SAFETY = 0.7
+        /** Part of the budget that is used; the windows of all instances are not aligned. */
+        const val SAFETY = 0.85
     }
 }
 
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/admission/WaitingRoomSpec.kt
@@ -0,0 +1,70 @@
+package org.jacinthlink.decision.admission
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+class WaitingRoomSpec :
+    DescribeSpec({
+        fun request(name: String, priority: Int, arrivedAtMs: Long, tokens: Long = 900) =
+            WaitingRequest(name, priority, tokens, arrivedAtMs, targetMs = 500)
+
+        /** A room that frees [tokensPerS]. */
+        fun room(tokensPerS: Long): WaitingRoom<String> =
+            waitingRoom<String>().apply {
+                onFreed(0, 0)
+                onFreed(tokensPerS, 1_000)
+            }
+
+        fun WaitingRoom<String>.drain(nowMs: Long): List<String> =
+            generateSequence { next(nowMs, 1_000) }.map { it.item }.toList()
+
+        describe("a flood of the least urgent class") {
+            // Guards against urgent requests that wait behind a flood.
+            it("lets urgent requests go first") {
+                val room = room(30_000)
+                room.offer(request("archive", 2, 1_000), 1_000)
+                room.offer(request("question", 1, 1_010), 1_010)
+                room.offer(request("quote", 0, 1_020), 1_020)
+                room.drain(1_050) shouldContainExactly listOf("quote", "question", "archive")
+            }
+
+            // Guards against callers who wait for an answer that comes when they have left.
+            it("turns requests away at once that would wait too long, with the time to come back") {
+                val room = room(9_000)
+                val decisions =
+                    (1..30).map { room.offer(request("r$it", 2, 1_000), 1_000) }
+                decisions.count { it == WaitDecision.Waits } shouldBe 18
+                decisions.last().shouldBeInstanceOf<WaitDecision.Refused>()
+            }
+        }
+
+        describe("requests that are late already") {
+            // Guards against an overload in which every request is a little late.
+            it("wait behind those that can be on time") {
+                val room = room(30_000)
+                room.offer(request("late", 0, 1_000), 1_000)
+                room.offer(request("fresh", 1, 1_450), 1_450)
+                room.drain(1_500) shouldContainExactly listOf("fresh", "late")
+            }
+
+            it("are given up before their callers leave") {
+                val room = room(30_000)
+                room.offer(request("old", 0, 1_000), 1_000)
+                room.overdue(2_801).map { it.item } shouldContainExactly listOf("old")
+                room.size shouldBe 0
+            }
+        }
+
+        describe("a large prompt") {
+            // Guards against large prompts that smaller ones always pass.
+            it("is not passed by smaller ones") {
+                val room = room(30_000)
+                room.offer(request("large", 0, 1_000, tokens = 2_500), 1_000)
+                room.offer(request("small", 0, 1_010, tokens = 100), 1_010)
+                room.next(1_020, 1_000) shouldBe null
+                room.next(1_030, 2_500)?.item shouldBe "large"
+            }
+        }
+    })
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router
 
 import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.retry.SendCounts
 import org.jacinthlink.decision.retry.retryLedger
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.OPERATOR_PREFIX
@@ -22,6 +23,7 @@
 import org.jacinthlink.router.relay.FaultWatch
 import org.jacinthlink.router.relay.PathBook
 import org.jacinthlink.router.relay.RelayContext
+import org.jacinthlink.router.relay.StreamAdmission
 import org.jacinthlink.router.relay.StreamBook
 import org.jacinthlink.transport.Address
 import org.jacinthlink.transport.EventLoop
@@ -51,9 +53,11 @@
         LayerOrders(loop, engines, servers, faults, log, clockMs) { lease.lose("fenced by $it") }
     private val duty =
         LayoutDuty(configuration, servers, faults, lease, orders, log, clockMs)
+    private val ledger = newLedger()
+    private val admission = StreamAdmission(paths, faults, clockMs)
     private val context =
         RelayContext(
-            loop, http, log, servers, faults, paths, ledger(), { peers.alive.size + 1 }, clockMs
+            loop, http, log, servers, faults, paths, admission, ledger, clockMs
         )
     private val requests = RequestRouter(context, configuration, streams)
     private val operatorWatch = watch(OPERATOR_PREFIX, configuration)
@@ -89,7 +93,10 @@
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
             operatorWatch.start()
             serverWatch.start()
-            loop.repeat(StreamBook.TICK_MS) { streams.tick(clockMs()) }
+            loop.repeat(StreamBook.TICK_MS) {
+                streams.tick(clockMs())
+                admission.tick()
+            }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
             loop.repeat(PEER_TICK_MS) { peerTick() }
             loop.repeat(EXPIRE_TICK_MS) { servers.expire(clockMs()) }
@@ -120,6 +127,8 @@
         val tokens = HashMap<String, Long>()
         alive.forEach { peer -> peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) } }
         paths.notePeers(tokens)
+        val sends = SendCounts(alive.sumOf { it.firstSends }, alive.sumOf { it.repeats })
+        ledger.onNews(sends, alive.size, clockMs())
     }
 
     private fun storeAgeMs(): Long? {
@@ -139,6 +148,8 @@
             storeAgeMs = storeAgeMs(),
             failed = faults.failed.toList(),
             usedTokens = paths.ownTokens,
+            firstSends = ledger.counts(clockMs()).first,
+            repeats = ledger.counts(clockMs()).repeats,
             layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map { (server, atMs) ->
                 LayerNews(
                     server.instanceId,
@@ -157,6 +168,7 @@
             servers.learnLayers(it.instanceId, it.bornAtMs, layers, clockMs() - it.ageMs)
         }
         if (news.dutyToken != null && lease.fencingToken == null) {
+            duty.forget()
             servers.limitLayers(
                 news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
             )
@@ -196,7 +208,7 @@
         listener: org.jacinthlink.router.beliefs.PrefixListener
     ) = PrefixWatch(loop, store, log, prefix, WATCH_WAIT_MS, WATCH_PAUSE_MS, clockMs, listener)
 
-    private fun ledger() =
+    private fun newLedger() =
         retryLedger(
             (settings.retryBudget.windowS * MS_PER_S).toLong(),
             settings.retryBudget.ratio,
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -30,6 +30,10 @@
             .filter { it.service == service && it.state == ServerState.READY }
             .map { it.limited() }
 
+    /** Servers of [service] that are registered, whatever their state. */
+    fun registered(service: String): List<BackendServer> =
+        servers.values.filter { it.service == service }
+
     /** Server at [address], or null. */
     fun at(address: String): BackendServer? = servers.values.lastOrNull { it.address == address }
 
@@ -81,7 +85,8 @@
         if (bornAtMs == known.bornAtMs && saidAtMs < learntBefore) return
         learntAtMs[instanceId] = saidAtMs
         if (known.layers == layers && known.bornAtMs == bornAtMs) return
-        servers[instanceId] = known.copy(bornAtMs = bornAtMs, layers = layers)
+        servers[instanceId] =
+            known.copy(bornAtMs = bornAtMs, layers = layers, usableLayers = layers)
         log.event(
             "layers_learnt",
             "server" to instanceId,
@@ -100,7 +105,7 @@
 
     private fun BackendServer.limited(): BackendServer {
         val limit = limits[instanceId] ?: return this
-        return copy(layers = layers?.intersection(limit))
+        return copy(usableLayers = layers?.intersection(limit))
     }
 
     private fun put(next: BackendServer) {
@@ -110,7 +115,7 @@
         val isLearntLately = learntMs != null && clockMs() - learntMs < ENTRY_AGE_MS
         val merged =
             if (known != null && known.bornAtMs == next.bornAtMs && isLearntLately) {
-                next.copy(layers = known.layers)
+                next.copy(layers = known.layers, usableLayers = known.layers)
             } else {
                 next
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -3,6 +3,7 @@
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.fleet.ServerState
 import org.jacinthlink.decision.layout.LayoutServer
 import org.jacinthlink.decision.layout.LayoutState
 import org.jacinthlink.decision.layout.LayoutStep
@@ -29,14 +30,16 @@
     /** Layers that engines are about to give up. */
     val limits: Map<String, LayerRange> get() = orders.limits
 
+    /** Forgets plans and orders, because another router holds the duty. */
+    fun forget() {
+        plans.clear()
+        orders.clear()
+    }
+
     /** Compares what is held with what should be held, and gives orders; called periodically. */
     fun tick() {
         val token = lease.fencingToken
-        if (token == null) {
-            plans.clear()
-            orders.clear()
-            return
-        }
+        if (token == null) return
         val services = configuration.current?.services?.values.orEmpty()
         services.forEach { service -> service.engine?.let { place(service.name, it, token) } }
         servers.limitLayers(orders.limits)
@@ -48,7 +51,8 @@
         val plan = plans.getOrPut(service) { ServicePlan() }
         orders.retain(servers.all.map { it.instanceId }.toSet())
         plan.refresh(engine, ready, nowMs)
-        val states = ready.mapNotNull { it.toState(engine, plan) }
+        val states = servers.registered(service).filter { it.isUsable(engine) }
+            .mapNotNull { it.toState(engine, plan) }
         nextSteps(states, engine.layerMb, LOADS_AT_ONCE).forEach { step ->
             val server = ready.first { it.instanceId == step.instanceId }
             when (step) {
@@ -62,10 +66,11 @@
         !faults.isFailed(address) && accelerator in engine.accelerators
 
     private fun BackendServer.toState(engine: EngineProfile, plan: ServicePlan): LayoutState? {
-        val target = plan.targets[instanceId] ?: return null
+        val target = plan.targets[instanceId].takeIf { state == ServerState.READY }
+        val group = target?.group ?: plan.groupByZone[zone] ?: return null
         val memoryMb = engine.accelerators.getValue(accelerator.orEmpty()).memoryMb
         val isBusy = orders.isUnderWay(instanceId)
-        return LayoutState(instanceId, memoryMb, layers, target.layers, isBusy, target.group)
+        return LayoutState(instanceId, memoryMb, layers, target?.layers, isBusy, group)
     }
 
     /** What the servers of a service are meant to hold. */
@@ -77,6 +82,12 @@
         var targets = emptyMap<String, Placement>()
             private set
 
+        /** Group of the servers of each zone. */
+        val groupByZone: Map<String, Int>
+            get() = targets.values.mapNotNull { target ->
+                servers.byId(target.instanceId)?.let { it.zone to target.group }
+            }.toMap()
+
         /** Plans anew when servers have come or gone, once that has lasted for a while. */
         fun refresh(engine: EngineProfile, ready: List<BackendServer>, nowMs: Long) {
             val seen = ready.map { "${it.instanceId}@${it.bornAtMs}" }.toSet()
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -13,6 +13,8 @@
  * @property storeAgeMs Since the store last answered the sender, or null if it never did.
  * @property failed Addresses that the sender takes as failed.
  * @property usedTokens Tokens of requests on the path of each zone.
+ * @property firstSends First sends of requests within the window of the retry budget.
+ * @property repeats Other sends within it.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
  * @property limits Layers that engines are about to give up, from the holder of the duty.
  * @property peers Hosts of some other routers.
@@ -28,6 +30,8 @@
     val storeAgeMs: Long? = null,
     val failed: List<String> = emptyList(),
     val usedTokens: Map<String, Long> = emptyMap(),
+    val firstSends: Int = 0,
+    val repeats: Int = 0,
     val layers: List<LayerNews> = emptyList(),
     val limits: List<LayerLimit> = emptyList(),
     val peers: List<String> = emptyList()
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -50,6 +50,14 @@
         return straight.minByOrNull { load(it, tokens) }
     }
 
+    /** Tokens for which the roomiest usable path has room. */
+    fun roomTokens(service: ServiceDefinition, failed: Set<String>, nowMs: Long): Long {
+        val all = paths(service, failed)
+        val straight = all.filter { it.crossings == 0 }.ifEmpty { all }
+        return straight.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
+            .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - used(it) } ?: 0
+    }
+
     /** Notes that a request uses [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long) {
         usedTokens.merge(path.home, tokens, Long::plus)
@@ -66,10 +74,12 @@
     }
 
     private fun load(path: ServingPath, tokens: Long): Double {
-        val used = (usedTokens[path.home] ?: 0) + (peerTokens[path.home] ?: 0) + tokens
-        return used / path.capacityTokens.coerceAtLeast(1).toDouble()
+        return (used(path) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
     }
 
+    private fun used(path: ServingPath): Long =
+        (usedTokens[path.home] ?: 0) + (peerTokens[path.home] ?: 0)
+
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
             "${path.home}:${path.capacityTokens}:${path.crossings}:${path.parts.size}"
@@ -78,4 +88,9 @@
             log.event("paths_planned", "service" to service, "paths" to text)
         }
     }
+
+    private companion object {
+        /** Part of a path's memory that is given out; the peers' use is known a little late. */
+        const val FILL_SHARE = 0.92
+    }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -38,7 +38,7 @@
         val server = balance.choose(ready.filter { it.instanceId !in tried }, nowMs)
         when {
             server == null -> giveUp("no server")
-            sends > 0 && !context.ledger.tryRepeat(nowMs, context.instanceCount()) ->
+            sends > 0 && !context.ledger.tryRepeat(nowMs) ->
                 giveUp("retry budget")
             else -> send(server, cause, nowMs)
         }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayContext.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayContext.kt
@@ -14,7 +14,7 @@
     val servers: ServerDirectory,
     val faults: FaultWatch,
     val paths: PathBook,
+    val admission: StreamAdmission,
     val ledger: RetryLedger,
-    val instanceCount: () -> Int,
     val clockMs: () -> Long
 )
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -0,0 +1,70 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.admission.WaitDecision
+import org.jacinthlink.decision.admission.WaitingRequest
+import org.jacinthlink.decision.admission.waitingRoom
+import org.jacinthlink.decision.fleet.ServiceDefinition
+
+/** Lets the first sends of streams wait until a path has room for them. */
+internal class StreamAdmission(
+    private val paths: PathBook,
+    private val faults: FaultWatch,
+    private val clockMs: () -> Long
+) {
+    private val rooms = HashMap<String, ServiceQueue>()
+
+    /** Number of streams that wait. */
+    val waitingCount: Int get() = rooms.values.sumOf { it.room.size }
+
+    /** Sends [stream] if a path has room, lets it wait, or tells it that it would wait in vain. */
+    fun admit(stream: StreamRelay, service: ServiceDefinition) {
+        val queue = rooms.getOrPut(service.name) { ServiceQueue(service) }
+        queue.service = service
+        val nowMs = clockMs()
+        if (queue.room.size == 0 && stream.tokens <= room(service, nowMs)) {
+            stream.admitted()
+            return
+        }
+        val request =
+            WaitingRequest(
+                stream, stream.priority, stream.tokens, stream.arrivedAtMs, stream.targetMs
+            )
+        when (val decision = queue.room.offer(request, nowMs)) {
+            WaitDecision.Waits -> Unit
+            is WaitDecision.Refused -> stream.refused("queue full", decision.retryAfterMs)
+        }
+    }
+
+    /** Takes [stream] out of its queue. */
+    fun leave(stream: StreamRelay, service: ServiceDefinition) {
+        rooms[service.name]?.room?.remove(stream)
+    }
+
+    /** Notes that a stream has left [tokens] of a path. */
+    fun onFreed(service: ServiceDefinition, tokens: Long) {
+        rooms.getOrPut(service.name) { ServiceQueue(service) }.room.onFreed(tokens, clockMs())
+    }
+
+    /** Sends what has room now and gives up what has waited too long; called periodically. */
+    fun tick() {
+        val nowMs = clockMs()
+        rooms.values.filter { it.room.size > 0 }.forEach { queue ->
+            queue.room.overdue(nowMs).forEach { it.item.refused("waited in vain", RETRY_AFTER_MS) }
+            while (true) {
+                val next = queue.room.next(nowMs, room(queue.service, nowMs)) ?: break
+                next.item.admitted()
+            }
+        }
+    }
+
+    private fun room(service: ServiceDefinition, nowMs: Long): Long =
+        paths.roomTokens(service, faults.failed, nowMs)
+
+    private class ServiceQueue(var service: ServiceDefinition) {
+        val room = waitingRoom<StreamRelay>()
+    }
+
+    private companion object {
+        const val RETRY_AFTER_MS = 1_000L
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -16,7 +16,8 @@
     private val streams: StreamBook,
     private val job: RelayRequest
 ) {
-    private val tokens: Long = expectedTokens()
+    /** Memory that the request needs, in tokens. */
+    val tokens: Long = expectedTokens()
     private val ranOn = mutableSetOf<String>()
     private var send: Send? = null
     private var runs = 0
@@ -44,7 +45,28 @@
         streams.add(this)
         job.exchange.onClientClosed { clientClosed() }
         deadline = context.loop.schedule(job.endsAtMs - context.clockMs()) { expire() }
-        sendNext("first")
+        context.admission.admit(this, job.service)
+    }
+
+    /** Rank of the request; 0 is the most urgent. */
+    val priority: Int get() = job.priority
+
+    /** When the request arrived. */
+    val arrivedAtMs: Long get() = job.startedAtMs
+
+    /** Time within which the first event is on time. */
+    val targetMs: Long get() = job.route.targetLatencyMs
+
+    /** Sends the request for the first time. */
+    fun admitted() {
+        if (!isDone) sendNext("first")
+    }
+
+    /** Turns the request away before it was sent. */
+    fun refused(cause: String, retryAfterMs: Long) {
+        if (isDone) return
+        job.refuse(UNAVAILABLE, retryAfterMs)
+        finished(UNAVAILABLE, cause)
     }
 
     /** Leaves the present path, which is taken as broken. */
@@ -62,7 +84,7 @@
         }
         when {
             path == null -> waitForPath()
-            sends > 0 && !context.ledger.tryRepeat(nowMs, context.instanceCount()) ->
+            sends > 0 && !context.ledger.tryRepeat(nowMs) ->
                 giveUp("retry budget")
             else -> send(path, cause, nowMs)
         }
@@ -241,6 +263,7 @@
             ended(it)
         }
         streams.remove(this)
+        context.admission.leave(this, job.service)
         val nowMs = context.clockMs()
         context.log.event(
             "ended",
@@ -259,6 +282,7 @@
         if (send !== current) return
         send = null
         context.paths.release(current.path, tokens)
+        context.admission.onFreed(job.service, tokens)
     }
 
     private fun expectedTokens(): Long {
