--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -30,6 +30,7 @@
     private var isDone = false
     private var firstEventAtMs: Long? = null
     private var lastEventAtMs: Long? = null
+    private var longestGapMs = 0L
 
     /** Zone of the path in use, or null. */
     val home: String? get() = send?.path?.home
@@ -168,6 +169,7 @@
         val whole = current.splitter.feed(part).filter { isNext(it) }
         if (whole.isEmpty()) return
         current.lastSignAtMs = context.clockMs()
+        lastEventAtMs?.let { longestGapMs = maxOf(longestGapMs, current.lastSignAtMs - it) }
         lastEventAtMs = current.lastSignAtMs
         current.hasEvents = true
         startAnswer(current)
@@ -274,6 +276,7 @@
             "events" to events,
             "sends" to sends,
             "first_ms" to firstEventAtMs?.let { it - job.startedAtMs },
+            "gap_ms" to longestGapMs,
             "ms" to nowMs - job.startedAtMs
         )
     }
