--- a/router/src/main/kotlin/org/jacinthlink/router/Main.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Main.kt
@@ -17,6 +17,12 @@
     val check by
         parser.option(ArgType.Boolean, "check", description = "check the settings and end")
             .default(false)
+    val warmUp by
+        parser.option(
+            ArgType.Boolean,
+            "warm-up",
+            description = "run for a moment, so that the build can archive the loaded classes"
+        ).default(false)
     parser.parse(args)
     val path = file ?: platformSettingsPath(System.getenv())
     if (path == null) fail("no settings: give --settings FILE")
@@ -24,7 +30,12 @@
         loadSettings(RouterSettings.serializer(), Path.of(path)) { settings -> check(settings) }
     when (loaded) {
         is Failure -> fail("${loaded.code.number} ${loaded.code.name}: ${loaded.message}")
-        is Success -> if (check) println("$path: valid") else run(loaded.value)
+        is Success ->
+            when {
+                check -> println("$path: valid")
+                warmUp -> warmUp(loaded.value)
+                else -> run(loaded.value)
+            }
     }
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -26,11 +26,25 @@
 ) : ServerHandler {
     private val balance = PlainBalance()
     private val shares = ServiceShares()
+    private val early = EarlyRequests(context.loop, ::refuseEarly)
 
     override fun handle(request: ServerRequest, exchange: ServerExchange) {
         val info = requestInfo(request)
-        val current = configuration.current
-            ?: return refuse(info, exchange, UNAVAILABLE, "no configuration", null, RETRY_AFTER_MS)
+        if (configuration.current == null) early.hold(request, exchange) else route(request, info, exchange)
+    }
+
+    /** Handles the requests that came before the first configuration. */
+    fun configurationCame() {
+        early.release().forEach { route(it.request, requestInfo(it.request), it.exchange) }
+    }
+
+    private fun refuseEarly(request: ServerRequest, exchange: ServerExchange) {
+        val info = requestInfo(request)
+        refuse(info, exchange, UNAVAILABLE, "no configuration", null, RETRY_AFTER_MS)
+    }
+
+    private fun route(request: ServerRequest, info: RequestInfo, exchange: ServerExchange) {
+        val current = configuration.current ?: return
         val route = configuration.routes.find(info.host, request.path)
             ?: return refuse(info, exchange, NOT_FOUND, "no route", current.version)
         val needsKey = current.usesKeys && !route.isAnonymous
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -26,7 +26,10 @@
 import org.jacinthlink.router.relay.StreamAdmission
 import org.jacinthlink.router.relay.StreamBook
 import org.jacinthlink.transport.Address
+import org.jacinthlink.transport.BufferedCall
+import org.jacinthlink.transport.ClientRequest
 import org.jacinthlink.transport.EventLoop
+import org.jacinthlink.transport.HeaderField
 import org.jacinthlink.transport.HttpListener
 import org.jacinthlink.transport.ServerLimits
 import org.jacinthlink.transport.eventLoop
@@ -44,7 +47,7 @@
     private val engines = EngineClient(loop, http)
     private val paths: PathBook by lazy { PathBook(log, servers) }
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
-    private val configuration = ConfigurationBelief(log) { paths.invalidate() }
+    private val configuration = ConfigurationBelief(log, ::configurationChanged)
     private val faults = FaultWatch(loop, engines, servers, log, clockMs) { paths.invalidate() }
     private val streams = StreamBook(log, ::checkPath)
     private val lease =
@@ -72,6 +75,7 @@
             settings.seeds.map { it.toAddress().host }, clockMs, ::composeNews, ::heard
         )
     private var isDraining = false
+    private var silentPath: String? = null
     private lateinit var clients: HttpListener
     private lateinit var readiness: HttpListener
 
@@ -103,6 +107,16 @@
         }
     }
 
+    /** Sends a request to this router, so that the classes that carry requests are loaded. */
+    fun askItself() {
+        listOf(clients, readiness).forEach { listener ->
+            val address = Address(settings.host, listener.port)
+            val headers = listOf(HeaderField("Host", address.toString()))
+            val request = ClientRequest(address, "POST", "/", headers, ByteArray(1))
+            loop.execute { BufferedCall(loop, http, request, WARM_UP_CALL_MS) {} }
+        }
+    }
+
     /** Ends the process after its requests: no new clients, then no idle connections. */
     fun drain() {
         val endsAtMs = clockMs() + (settings.shutdownGraceS * MS_PER_S).toLong() - KILL_MARGIN_MS
@@ -149,6 +163,7 @@
             failed = faults.failed.toList(),
             usedTokens = paths.ownTokens,
             firstSends = ledger.counts(clockMs()).first,
+            silentPaths = listOfNotNull(silentPath),
             repeats = ledger.counts(clockMs()).repeats,
             layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map { (server, atMs) ->
                 LayerNews(
@@ -163,6 +178,10 @@
         )
 
     private fun heard(news: PeerNews) {
+        news.silentPaths.forEach { home ->
+            streams.reportedSilent(home, clockMs())
+            paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
+        }
         news.layers.forEach {
             val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
             servers.learnLayers(it.instanceId, it.bornAtMs, layers, clockMs() - it.ageMs)
@@ -194,6 +213,11 @@
         )
     }
 
+    private fun configurationChanged() {
+        paths.invalidate()
+        requests.configurationCame()
+    }
+
     private fun checkPath(home: String) {
         configuration.current?.services?.values.orEmpty().forEach { service ->
             paths.paths(service, faults.failed).filter { it.home == home }
@@ -201,6 +225,9 @@
                 .forEach { faults.check(it.server, "path silent") }
         }
         paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
+        silentPath = home
+        peers.sendNow()
+        silentPath = null
     }
 
     private fun watch(
@@ -235,6 +262,7 @@
         const val KILL_MARGIN_MS = 300L
         const val DRAIN_POLL_MS = 20L
         const val LAST_LINES_MS = 50L
+        const val WARM_UP_CALL_MS = 300L
     }
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -72,6 +72,11 @@
         }
     }
 
+    /** Sends the news now, because something has happened. */
+    fun sendNow() {
+        send()
+    }
+
     private fun send() {
         table.forget(clockMs()).forEach { log.event("peer_forgotten", "peer" to it.instance) }
         val hosts = table.hosts
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.paths.SilenceLimit
+import org.jacinthlink.decision.paths.silenceLimit
 import org.jacinthlink.router.DecisionLog
 
 /**
@@ -13,7 +15,10 @@
     private val onSilentPath: (home: String) -> Unit
 ) {
     private val streams = LinkedHashSet<StreamRelay>()
+    private val limits = HashMap<String, SilenceLimit>()
+    private val reportedUntilMs = HashMap<String, Long>()
     private var lastTickMs: Long? = null
+    private var graceUntilMs = 0L
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -28,6 +33,11 @@
         streams.remove(stream)
     }
 
+    /** Takes the word of a peer that the path of [home] is silent. */
+    fun reportedSilent(home: String, nowMs: Long) {
+        reportedUntilMs[home] = nowMs + REPORT_MS
+    }
+
     /** Looks for silent paths; called each [TICK_MS]. */
     fun tick(nowMs: Long) {
         val sinceTickMs = nowMs - (lastTickMs ?: nowMs)
@@ -43,34 +53,32 @@
         }
     }
 
-    private var graceUntilMs = 0L
-
     private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
         val flowing = group.filter { it.isFlowing }
-        val silentMs = nowMs - (flowing.maxOfOrNull { it.lastSignAtMs } ?: return)
-        val limitMs = if (flowing.size >= SEVERAL) SILENT_PATH_MS else LONELY_SILENT_MS
-        if (silentMs < limitMs) return
+        val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs } ?: return
+        val limit = limits.getOrPut(home) { silenceLimit() }
+        val isReported = (reportedUntilMs[home] ?: 0) > nowMs
+        val limitMs = limit.limitMs(lastEventMs, flowing.size, isReported, nowMs)
+        if (nowMs - lastEventMs < limitMs) return
         log.event(
             "path_silent",
             "path" to home,
             "streams" to group.size,
             "flowing" to flowing.size,
-            "silent_ms" to silentMs
+            "silent_ms" to nowMs - lastEventMs,
+            "limit_ms" to limitMs,
+            "reported" to isReported
         )
-        onSilentPath(home)
+        if (!isReported) onSilentPath(home)
         group.filter { nowMs - it.lastSignAtMs >= limitMs }.forEach { it.leavePath("path silent") }
     }
 
     companion object {
         /** Period of [tick]. */
-        const val TICK_MS = 25L
-        private const val OWN_PAUSE_MS = 80L
-        private const val SEVERAL = 3
-
-        /** Events of one path come every few ms when several streams use it. */
-        private const val SILENT_PATH_MS = 150L
+        const val TICK_MS = 20L
+        private const val OWN_PAUSE_MS = 70L
 
-        /** A single stream pauses while its engines read other prompts. */
-        private const val LONELY_SILENT_MS = 400L
+        /** A peer's report holds this long. */
+        private const val REPORT_MS = 150L
     }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/Address.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/Address.kt
@@ -24,4 +24,4 @@
 
 private val ADDRESS = Regex("""(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}):(\d{1,5})""")
 private const val MAX_OCTET = 255
-private val PORTS = 1..65_535
+private val PORTS = 0..65_535
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
+import java.net.InetSocketAddress
 
 /** A listening HTTP/1.1 server. */
 class HttpListener internal constructor(
@@ -16,6 +17,9 @@
 ) {
     private val sweep = loop.repeat(SWEEP_PERIOD_MS, ::closeOverdue)
 
+    /** Port that the server listens on. */
+    val port: Int get() = (channel.localAddress() as InetSocketAddress).port
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
