Move streams off a leaving server one by one, then its idle zone at once

Change: a layout stays while its tightest part has 40 in 100 of the possible room; a zone without a staying holder of some layer is emptied by the routers, one stream in 40 ms each, and then moves all servers at once; the limit of silence is twice the longest pause; kept connections live as long as the server says.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -4,7 +4,7 @@
 import org.jacinthlink.decision.fleet.LayerRange
 
 /** A layout is kept while its tightest part has this share of the room that it could have. */
-private const val MIN_ROOM_SHARE = 0.7
+private const val MIN_ROOM_SHARE = 0.4
 
 /**
  * Layers that each of [servers] should hold; a server that is not named is a spare.
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -38,28 +38,35 @@
 /**
  * The orders that can be given now, the most urgent first.
  *
- * Load pattern: a server is lost under load. Where a layer is held by nobody, nothing passes
- * through the group, so all its servers move at once. Otherwise layers are given up only when
- * others hold them, so paths stay whole while the group moves.
+ * Load pattern: a server is lost or leaves under load. Where a layer is held by no server that
+ * stays, the group takes no new requests; its servers move all at once as soon as [isIdle], since
+ * an engine gives layers up only after the requests that pass through them. Otherwise layers are
+ * given up only when others hold them, so paths stay whole while the group moves.
  *
  * @param loadsAtOnce Loads that run side by side without slowing each other.
  */
 fun nextSteps(
     states: List<LayoutState>,
     layerMb: Double,
-    loadsAtOnce: Int
+    loadsAtOnce: Int,
+    isIdle: (group: Int) -> Boolean
 ): List<LayoutStep> {
     val (broken, whole) = states.groupBy { it.group }.values.partition { it.isBroken() }
-    val moves = broken.flatten().filter { !it.isBusy }.mapNotNull { directStep(it) }
+    val moves =
+        broken.filter { isIdle(it.first().group) }
+            .flatten()
+            .filter { !it.isBusy }
+            .mapNotNull { directStep(it) }
     val steps = whole.flatMap { wholeGroupSteps(it, layerMb) }
     val (loads, releases) = steps.partition { it is LayoutStep.Load }
     val running = states.count { it.isBusy } + moves.size
     return moves + releases + loads.take((loadsAtOnce - running).coerceAtLeast(0))
 }
 
-private fun List<LayoutState>.isBroken(): Boolean {
+/** True if no server of the group that stays holds some layer. */
+fun List<LayoutState>.isBroken(): Boolean {
     val layerCount = maxOf { maxOf(it.wanted?.to ?: 0, it.held?.to ?: 0) }
-    return (0 until layerCount).any { layer -> none { it.holds(layer) } }
+    return (0 until layerCount).any { layer -> none { it.wanted != null && it.holds(layer) } }
 }
 
 private fun directStep(state: LayoutState): LayoutStep? {
@@ -69,20 +76,13 @@
 
 private fun wholeGroupSteps(states: List<LayoutState>, layerMb: Double): List<LayoutStep> {
     val staying = states.filter { it.wanted != null }
-    val isLeaving = { layer: Int -> staying.none { it.holds(layer) } }
-    return staying.filter { !it.isBusy }
-        .sortedByDescending { state -> state.newLayers().count(isLeaving) }
-        .mapNotNull { step(it, staying, layerMb, isLeaving) }
+    return staying.filter { !it.isBusy }.mapNotNull { step(it, staying, layerMb) }
 }
 
-private fun LayoutState.newLayers(): List<Int> =
-    wanted?.let { (it.from until it.to).filter { layer -> !holds(layer) } }.orEmpty()
-
 private fun step(
     state: LayoutState,
     states: List<LayoutState>,
-    layerMb: Double,
-    isLeaving: (Int) -> Boolean
+    layerMb: Double
 ): LayoutStep? {
     val wanted = state.wanted ?: return null
     val held = state.held ?: return LayoutStep.Load(state.instanceId, wanted)
@@ -95,7 +95,7 @@
         held.contains(wanted) ->
             if (isSpare) LayoutStep.Release(state.instanceId, wanted) else null
         fitsBoth -> LayoutStep.Load(state.instanceId, both)
-        isSpare || state.newLayers().any(isLeaving) -> LayoutStep.Load(state.instanceId, wanted)
+        isSpare -> LayoutStep.Load(state.instanceId, wanted)
         else -> null
     }
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
@@ -44,7 +44,7 @@
     private companion object {
         const val INITIAL_PAUSE_MS = 90.0
         const val MAX_PAUSE_MS = 200.0
-        const val FACTOR = 1.6
+        const val FACTOR = 2.0
         const val DECAY = 0.9
         const val DECAY_PERIOD_MS = 250L
 
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -55,7 +55,9 @@
     private val orders =
         LayerOrders(loop, engines, servers, faults, log, clockMs) { lease.lose("fenced by $it") }
     private val duty =
-        LayoutDuty(configuration, servers, faults, lease, orders, log, clockMs)
+        LayoutDuty(
+            configuration, servers, faults, lease, orders, { paths.usedTokens(it) }, log, clockMs
+        )
     private val ledger = newLedger()
     private val admission = StreamAdmission(paths, faults, clockMs)
     private val context =
@@ -99,6 +101,7 @@
             serverWatch.start()
             loop.repeat(StreamBook.TICK_MS) {
                 streams.tick(clockMs())
+                streams.moveFromLeaving(clockMs(), servers::isLeaving, paths::hasOther)
                 admission.tick()
             }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -20,6 +20,7 @@
     private val missingSinceMs = HashMap<String, Long>()
     private val learntAtMs = HashMap<String, Long>()
     private var limits = emptyMap<String, LayerRange>()
+    private var readyAddresses = emptySet<String>()
 
     /** All servers that may be used or are leaving. */
     val all: List<BackendServer> get() = servers.values.toList()
@@ -40,6 +41,9 @@
     /** Server with [instanceId], or null. */
     fun byId(instanceId: String): BackendServer? = servers[instanceId]
 
+    /** True if the server at [address] drains or is gone. */
+    fun isLeaving(address: String): Boolean = address !in readyAddresses
+
     override fun onSnapshot(items: List<StoreItem>) {
         val seen = items.mapNotNull { decode(it) }
         log.event("servers_read", "count" to seen.size, "known" to servers.size)
@@ -51,7 +55,7 @@
             is StoreChange.Written -> decode(change.item)?.let { put(it) }
             is StoreChange.Removed -> remove(change.key.removePrefix(SERVERS_PREFIX), "removed")
         }
-        onChanged()
+        changed()
     }
 
     /** Takes [seen] as all servers that there are; those that are missing have some time left. */
@@ -60,7 +64,7 @@
         val nowMs = clockMs()
         val seenIds = seen.map { it.instanceId }.toSet()
         servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
-        onChanged()
+        changed()
     }
 
     /** Servers whose layers were learnt from themselves since [sinceMs], and when. */
@@ -74,7 +78,7 @@
         val gone = missingSinceMs.filterValues { nowMs - it >= MISSING_GRACE_MS }.keys
         if (gone.isEmpty()) return
         gone.toList().forEach { remove(it, "missing") }
-        onChanged()
+        changed()
     }
 
     /** Takes what a server itself said of its layers at [saidAtMs], if that is newer. */
@@ -93,13 +97,19 @@
             "layers" to (layers ?: "none"),
             "age_ms" to clockMs() - saidAtMs
         )
-        onChanged()
+        changed()
     }
 
     /** Uses no more of each server than its range in [next], which is about to be given up. */
     fun limitLayers(next: Map<String, LayerRange>) {
         if (next == limits) return
         limits = next
+        changed()
+    }
+
+    private fun changed() {
+        readyAddresses =
+            servers.values.filter { it.state == ServerState.READY }.map { it.address }.toSet()
         onChanged()
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.decision.layout.LayoutState
 import org.jacinthlink.decision.layout.LayoutStep
 import org.jacinthlink.decision.layout.Placement
+import org.jacinthlink.decision.layout.isBroken
 import org.jacinthlink.decision.layout.nextSteps
 import org.jacinthlink.decision.layout.planLayout
 import org.jacinthlink.router.DecisionLog
@@ -22,6 +23,7 @@
     private val faults: FaultWatch,
     private val lease: DutyLease,
     private val orders: LayerOrders,
+    private val usedTokens: (zone: String) -> Long,
     private val log: DecisionLog,
     private val clockMs: () -> Long
 ) {
@@ -53,7 +55,8 @@
         plan.refresh(engine, ready, nowMs)
         val states = servers.registered(service).filter { it.isUsable(engine) }
             .mapNotNull { it.toState(engine, plan) }
-        nextSteps(states, engine.layerMb, LOADS_AT_ONCE).forEach { step ->
+        val isIdle = { group: Int -> plan.isIdle(group, states.filter { it.group == group }) }
+        nextSteps(states, engine.layerMb, LOADS_AT_ONCE, isIdle).forEach { step ->
             val server = ready.first { it.instanceId == step.instanceId }
             when (step) {
                 is LayoutStep.Load -> orders.load(server, step.layers, token)
@@ -78,6 +81,7 @@
         private var members = emptySet<String>()
         private var changedAtMs = 0L
         private var isPlanned = false
+        private val brokenSinceMs = HashMap<Int, Long>()
 
         var targets = emptyMap<String, Placement>()
             private set
@@ -88,6 +92,17 @@
                 servers.byId(target.instanceId)?.let { it.zone to target.group }
             }.toMap()
 
+        /** True if no requests pass through a group, or if they have had time to leave. */
+        fun isIdle(group: Int, states: List<LayoutState>): Boolean {
+            if (!states.isBroken()) {
+                brokenSinceMs.remove(group)
+                return true
+            }
+            val sinceMs = brokenSinceMs.getOrPut(group) { clockMs() }
+            val zones = groupByZone.filterValues { it == group }.keys
+            return zones.all { usedTokens(it) == 0L } || clockMs() - sinceMs > LEAVE_MS
+        }
+
         /** Plans anew when servers have come or gone, once that has lasted for a while. */
         fun refresh(engine: EngineProfile, ready: List<BackendServer>, nowMs: Long) {
             val seen = ready.map { "${it.instanceId}@${it.bornAtMs}" }.toSet()
@@ -121,6 +136,9 @@
         /** A short silence of a server is no loss. */
         const val SETTLE_MS = 200L
 
+        /** Routers move their streams away from a broken path within this time. */
+        const val LEAVE_MS = 1_200L
+
         /** Loads that the weight store serves side by side at full speed. */
         const val LOADS_AT_ONCE = 6
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -10,12 +10,12 @@
 internal class PathBook(private val log: DecisionLog, private val servers: ServerDirectory) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
-    private val usedTokens = HashMap<String, Long>()
+    private val ownTokensByHome = HashMap<String, Long>()
     private val avoidedUntilMs = HashMap<String, Long>()
     private var peerTokens = emptyMap<String, Long>()
 
     /** Tokens of this process's requests on the path of each zone. */
-    val ownTokens: Map<String, Long> get() = usedTokens.toMap()
+    val ownTokens: Map<String, Long> get() = ownTokensByHome.toMap()
 
     /** Takes the tokens that all peers together use on the path of each zone. */
     fun notePeers(tokens: Map<String, Long>) {
@@ -55,17 +55,27 @@
         val all = paths(service, failed)
         val straight = all.filter { it.crossings == 0 }.ifEmpty { all }
         return straight.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
-            .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - used(it) } ?: 0
+            .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - usedTokens(it.home) } ?: 0
     }
 
+    /** Tokens that all routers use on the path of [home]. */
+    fun usedTokens(home: String): Long = (ownTokensByHome[home] ?: 0) + (peerTokens[home] ?: 0)
+
+    /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
+    fun hasOther(home: String, tokens: Long): Boolean =
+        pathsByService.values.flatten().any { path ->
+            path.home != home && path.crossings == 0 &&
+                usedTokens(path.home) + tokens <= path.capacityTokens
+        }
+
     /** Notes that a request uses [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long) {
-        usedTokens.merge(path.home, tokens, Long::plus)
+        ownTokensByHome.merge(path.home, tokens, Long::plus)
     }
 
     /** Notes that a request has left [path]. */
     fun release(path: ServingPath, tokens: Long) {
-        usedTokens.merge(path.home, -tokens, Long::plus)
+        ownTokensByHome.merge(path.home, -tokens, Long::plus)
     }
 
     /** Prefers other paths than that of [home] until [untilMs]. */
@@ -74,11 +84,9 @@
     }
 
     private fun load(path: ServingPath, tokens: Long): Double {
-        return (used(path) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
+        return (usedTokens(path.home) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
     }
 
-    private fun used(path: ServingPath): Long =
-        (usedTokens[path.home] ?: 0) + (peerTokens[path.home] ?: 0)
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -19,6 +19,7 @@
     private val reportedUntilMs = HashMap<String, Long>()
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
+    private var lastMoveMs = 0L
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -53,6 +54,26 @@
         }
     }
 
+    /**
+     * Moves a stream from a path with a leaving server to another path, one in each period.
+     *
+     * The pause of a move is shorter than that after the server's end, and moves one by one keep
+     * the other paths from reading many prompts at once.
+     */
+    fun moveFromLeaving(
+        nowMs: Long,
+        isLeaving: (address: String) -> Boolean,
+        hasOther: (home: String, tokens: Long) -> Boolean
+    ) {
+        if (nowMs - lastMoveMs < MOVE_PERIOD_MS) return
+        val next = streams.firstOrNull { stream ->
+            val home = stream.home
+            home != null && stream.passesThrough(isLeaving) && hasOther(home, stream.tokens)
+        } ?: return
+        lastMoveMs = nowMs
+        next.leavePath("server leaves")
+    }
+
     private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
         val flowing = group.filter { it.isFlowing }
         val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs } ?: return
@@ -76,6 +97,7 @@
     companion object {
         /** Period of [tick]. */
         const val TICK_MS = 20L
+        private const val MOVE_PERIOD_MS = 40L
         private const val OWN_PAUSE_MS = 70L
 
         /** A peer's report holds this long. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -70,6 +70,10 @@
         finished(UNAVAILABLE, cause)
     }
 
+    /** True if the present path passes through a server for which [isLeaving] holds. */
+    fun passesThrough(isLeaving: (address: String) -> Boolean): Boolean =
+        send?.path?.parts?.any { isLeaving(it.server.address) } == true
+
     /** Leaves the present path, which is taken as broken. */
     fun leavePath(cause: String) {
         val current = send ?: return
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -126,7 +126,7 @@
             response.headers().get("keep-alive")?.let { KEEP_ALIVE.find(it) }
                 ?.groupValues?.get(1)?.toLongOrNull()
         val keepMs = timeoutS?.let { it * MS_PER_S - KEEP_MARGIN_MS } ?: DEFAULT_KEEP_MS
-        usableUntilMs = monotonicMs() + keepMs.coerceAtMost(DEFAULT_KEEP_MS)
+        usableUntilMs = monotonicMs() + keepMs
     }
 
     private fun malformed() {
