Notice by its health that a server leaves while the store is down

Change: a server that turns a request away is asked for its health and left out while it leaves; a rejected stream waits 80 ms; layers that any order gives up are announced; 70 in 100 of the retry budget are used.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
@@ -30,6 +30,7 @@
     private var otherCount = 0
     private var repeatsSinceNews = 0
     private var shareUntilNews = 0.0
+    private var newsAtMs: Long? = null
 
     /** Sends of this instance within the window. */
     fun counts(nowMs: Long): SendCounts {
@@ -44,6 +45,9 @@
 
     /** Takes the counts of the [count] other instances together. */
     fun onNews(counts: SendCounts, count: Int, nowMs: Long) {
+        val lastMs = newsAtMs
+        if (lastMs != null && nowMs - lastMs < NEWS_PERIOD_MS && count == otherCount) return
+        newsAtMs = nowMs
         others = counts
         otherCount = count
         repeatsSinceNews = 0
@@ -75,8 +79,11 @@
     }
 
     private companion object {
-        /** Part of the budget that is used; the windows of all instances are not aligned. */
-        const val SAFETY = 0.85
+        /** Part of the budget that is used; a restarted instance has forgotten what it used. */
+        const val SAFETY = 0.7
+
+        /** News of all others have come anew after this time. */
+        const val NEWS_PERIOD_MS = 250L
     }
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router
 
+import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.retry.SendCounts
 import org.jacinthlink.decision.retry.retryLedger
@@ -48,7 +49,8 @@
     private val paths: PathBook by lazy { PathBook(log, servers) }
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
-    private val faults = FaultWatch(loop, engines, servers, log, clockMs) { paths.invalidate() }
+    private val faults =
+        FaultWatch(loop, engines, servers, ::healthPath, log, clockMs) { paths.invalidate() }
     private val streams = StreamBook(log, ::checkPath)
     private val lease =
         DutyLease(loop, store, log, DUTY_KEY, settings.instance, DUTY_TTL_MS)
@@ -101,7 +103,7 @@
             serverWatch.start()
             loop.repeat(StreamBook.TICK_MS) {
                 streams.tick(clockMs())
-                streams.moveFromLeaving(clockMs(), servers::isLeaving, paths::hasOther)
+                streams.moveFromLeaving(clockMs(), ::isLeaving, paths::hasOther)
                 admission.tick()
             }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
@@ -164,6 +166,7 @@
             configurationVersion = configuration.current?.version,
             storeAgeMs = storeAgeMs(),
             failed = faults.failed.toList(),
+            leaving = faults.failed.filter { faults.isLeaving(it) },
             usedTokens = paths.ownTokens,
             firstSends = ledger.counts(clockMs()).first,
             silentPaths = listOfNotNull(silentPath),
@@ -196,10 +199,16 @@
             )
         }
         news.failed.filter { !faults.isFailed(it) }.forEach { address ->
-            servers.at(address)?.let { faults.check(it, "reported by ${news.instance}") }
+            servers.at(address)?.let { reported(it, news) }
         }
     }
 
+    private fun reported(server: BackendServer, news: PeerNews) {
+        val cause = "reported by ${news.instance}"
+        if (server.address in news.leaving) faults.checkHealth(server, cause)
+        else faults.check(server, cause)
+    }
+
     private fun isReady(): Boolean {
         val services = configuration.current?.services?.values ?: return false
         val serves = services.any { servers.ready(it.name).isNotEmpty() }
@@ -221,6 +230,12 @@
         requests.configurationCame()
     }
 
+    private fun healthPath(service: String): String? =
+        configuration.current?.services?.get(service)?.healthPath
+
+    private fun isLeaving(address: String): Boolean =
+        servers.isLeaving(address) || faults.isLeaving(address)
+
     private fun checkPath(home: String) {
         configuration.current?.services?.values.orEmpty().forEach { service ->
             paths.paths(service, faults.failed).filter { it.home == home }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -22,9 +22,9 @@
 ) {
     private val underWay = HashMap<String, Order>()
 
-    /** Engines that give layers up, and what may still be used of them. */
+    /** Engines that give layers up, and what may still be used of them; empty for nothing. */
     val limits: Map<String, LayerRange>
-        get() = underWay.filterValues { it.isRelease }.mapValues { it.value.layers }
+        get() = underWay.filterValues { it.givesUp }.mapValues { it.value.usable }
 
     /** True while [instanceId] carries out an order. */
     fun isUnderWay(instanceId: String): Boolean = instanceId in underWay
@@ -41,14 +41,14 @@
 
     /** Lets [server] load layers until it holds [layers]. */
     fun load(server: BackendServer, layers: LayerRange, token: Long) {
-        val order = Order(layers, isRelease = false, token, clockMs())
+        val order = Order(layers, server.layers, token, clockMs())
         underWay[server.instanceId] = order
         send(server, order)
     }
 
     /** Lets [server] give layers up, after all routers have stopped using them. */
     fun release(server: BackendServer, layers: LayerRange, token: Long) {
-        val order = Order(layers, isRelease = true, token, clockMs())
+        val order = Order(layers, server.layers, token, clockMs())
         underWay[server.instanceId] = order
         loop.schedule(NEWS_MS) { if (underWay[server.instanceId] === order) send(server, order) }
     }
@@ -121,12 +121,17 @@
 
     private class Order(
         val layers: LayerRange,
-        val isRelease: Boolean,
+        val held: LayerRange?,
         val token: Long,
         val givenAtMs: Long
-    )
+    ) {
+        val givesUp: Boolean get() = held != null && !layers.contains(held)
+        val usable: LayerRange get() = held?.intersection(layers) ?: NOTHING
+    }
 
     private companion object {
+        val NOTHING = LayerRange(0, 0)
+
         /** Within this time the news of a release have reached the other routers. */
         const val NEWS_MS = 300L
         const val FOLLOW_MS = 120L
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -12,6 +12,7 @@
  * @property configurationVersion Newest configuration that the sender has read.
  * @property storeAgeMs Since the store last answered the sender, or null if it never did.
  * @property failed Addresses that the sender takes as failed.
+ * @property leaving Those of [failed] that live but turn requests away.
  * @property usedTokens Tokens of requests on the path of each zone.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
@@ -30,6 +31,7 @@
     val configurationVersion: Long? = null,
     val storeAgeMs: Long? = null,
     val failed: List<String> = emptyList(),
+    val leaving: List<String> = emptyList(),
     val usedTokens: Map<String, Long> = emptyMap(),
     val firstSends: Int = 0,
     val repeats: Int = 0,
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.platform.forward.AnswerInfo
 import org.jacinthlink.platform.forward.answerInfo
@@ -163,9 +164,16 @@
         )
         context.paths.avoid(current.path.home, context.clockMs() + FULL_PAUSE_MS)
         info.faultyServer?.let { address ->
-            context.servers.at(address)?.let { context.faults.check(it, "named by its path") }
+            context.servers.at(address)?.let { named(it, info.status) }
         }
-        if (sends < MAX_SENDS) sendNext("not run") else giveUp("not run")
+        if (sends >= MAX_SENDS) return giveUp("not run")
+        // What was full a moment ago is full now; another send at once only uses the retry budget.
+        retry = context.loop.schedule(NOT_RUN_PAUSE_MS) { if (!isDone) sendNext("not run") }
+    }
+
+    private fun named(server: BackendServer, status: Int) {
+        if (status == UNAVAILABLE) context.faults.checkHealth(server, "turned away a request")
+        else context.faults.check(server, "named by its path")
     }
 
     private fun bodyCame(current: Send, part: ByteArray) {
@@ -342,14 +350,15 @@
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
-        const val MAX_SENDS = 12
+        const val MAX_SENDS = 6
 
         /** Callers give a silent stream up after two seconds. */
         const val MAX_SILENCE_MS = 1_900L
         const val PATH_WAIT_MS = 50L
+        const val NOT_RUN_PAUSE_MS = 80L
 
         /** A path that turned a request away is not tried again at once. */
-        const val FULL_PAUSE_MS = 100L
+        const val FULL_PAUSE_MS = 150L
         const val RETRY_AFTER_MS = 500L
     }
 }
