Borrow layers while no zone is whole, instead of moving all zones at once

Change: a group moves at once only while another group is whole; otherwise layers are kept, the missing ones are loaded first, and paths cross zones meanwhile.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -38,10 +38,8 @@
 /**
  * The orders that can be given now, the most urgent first.
  *
- * Load pattern: a server is lost or leaves under load. Where a layer is held by no server that
- * stays, the group takes no new requests; its servers move all at once as soon as [isIdle], since
- * an engine gives layers up only after the requests that pass through them. Otherwise layers are
- * given up only when others hold them, so paths stay whole while the group moves.
+ * Load patterns: a server is lost or leaves under load, or servers of all groups do. See
+ * [GroupMove] for the ways to move a group.
  *
  * @param loadsAtOnce Loads that run side by side without slowing each other.
  */
@@ -49,20 +47,41 @@
     states: List<LayoutState>,
     layerMb: Double,
     loadsAtOnce: Int,
-    isIdle: (group: Int) -> Boolean
+    moveOf: (group: Int) -> GroupMove
 ): List<LayoutStep> {
-    val (broken, whole) = states.groupBy { it.group }.values.partition { it.isBroken() }
-    val moves =
-        broken.filter { isIdle(it.first().group) }
-            .flatten()
+    val groups = states.groupBy { it.group }
+    val together =
+        groups.filterKeys { moveOf(it) == GroupMove.TOGETHER }.values.flatten()
             .filter { !it.isBusy }
             .mapNotNull { directStep(it) }
-    val steps = whole.flatMap { wholeGroupSteps(it, layerMb) }
-    val (loads, releases) = steps.partition { it is LayoutStep.Load }
-    val running = states.count { it.isBusy } + moves.size
-    return moves + releases + loads.take((loadsAtOnce - running).coerceAtLeast(0))
+    val steps =
+        groups.filterKeys { moveOf(it) == GroupMove.STEPWISE }.values
+            .flatMap { stepwise(it, layerMb) }
+    val (loads, releases) = steps.partition { it.step is LayoutStep.Load }
+    val running = states.count { it.isBusy } + together.size
+    val urgentFirst = loads.sortedByDescending { it.missingCount }
+    return together + releases.map { it.step } +
+        urgentFirst.take((loadsAtOnce - running).coerceAtLeast(0)).map { it.step }
 }
 
+/** How the servers of a group move to the layers that they are meant to hold. */
+enum class GroupMove {
+    /**
+     * Layers are given up only when others hold them, so paths stay whole and other groups can
+     * borrow layers meanwhile.
+     */
+    STEPWISE,
+
+    /** All servers move at once, which is fastest while nothing passes through the group. */
+    TOGETHER,
+
+    /** Requests still pass through a group that is about to move at once. */
+    WAIT
+}
+
+/** A step and the number of its layers that no staying server of the group holds. */
+private class RankedStep(val step: LayoutStep, val missingCount: Int)
+
 /** True if no server of the group that stays holds some layer. */
 fun List<LayoutState>.isBroken(): Boolean {
     val layerCount = maxOf { maxOf(it.wanted?.to ?: 0, it.held?.to ?: 0) }
@@ -74,9 +93,12 @@
     return if (state.held == wanted) null else LayoutStep.Load(state.instanceId, wanted)
 }
 
-private fun wholeGroupSteps(states: List<LayoutState>, layerMb: Double): List<LayoutStep> {
+private fun stepwise(states: List<LayoutState>, layerMb: Double): List<RankedStep> {
     val staying = states.filter { it.wanted != null }
-    return staying.filter { !it.isBusy }.mapNotNull { step(it, staying, layerMb) }
+    return staying.filter { !it.isBusy }.mapNotNull { step(it, staying, layerMb) }.map { step ->
+        val layers = step.layers.from until step.layers.to
+        RankedStep(step, layers.count { layer -> staying.none { it.holds(layer) } })
+    }
 }
 
 private fun step(
--- a/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutStepsSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutStepsSpec.kt
@@ -12,7 +12,9 @@
         fun state(id: String, held: LayerRange?, wanted: LayerRange, isBusy: Boolean = false) =
             LayoutState(id, 21_600.0, held, wanted, isBusy)
 
-        fun steps(vararg states: LayoutState) = nextSteps(states.toList(), 1_750.0, 6) { true }
+        fun steps(vararg states: LayoutState) = nextSteps(states.toList(), 1_750.0, 6) {
+                if (states.toList().isBroken()) GroupMove.TOGETHER else GroupMove.STEPWISE
+            }
 
         describe("steps towards a layout") {
             it("are none when all is as wanted") {
@@ -61,9 +63,24 @@
                         LayoutState("x", 21_600.0, LayerRange(4, 8), null, isBusy = false),
                         state("b", LayerRange(8, 12), LayerRange(6, 12))
                     )
-                nextSteps(states, 1_750.0, 6) { false }.shouldBeEmpty()
-                nextSteps(states, 1_750.0, 6) { true }.map { it.instanceId } shouldContainExactly
-                    listOf("a", "b")
+                nextSteps(states, 1_750.0, 6) { GroupMove.WAIT }.shouldBeEmpty()
+                nextSteps(states, 1_750.0, 6) { GroupMove.TOGETHER }.map { it.instanceId }
+                    .shouldContainExactly("a", "b")
+            }
+
+            // Guards against groups that lose one another's help when all lack a layer at once.
+            it("keep what is held and load what is missing first when no group is whole") {
+                val states =
+                    listOf(
+                        state("a", LayerRange(0, 4), LayerRange(0, 6)),
+                        state("b", LayerRange(8, 12), LayerRange(6, 10)),
+                        state("c", LayerRange(12, 14), LayerRange(10, 14))
+                    )
+                nextSteps(states, 1_750.0, 2) { GroupMove.STEPWISE } shouldContainExactly
+                    listOf(
+                        LayoutStep.Load("a", LayerRange(0, 6)),
+                        LayoutStep.Load("b", LayerRange(6, 12))
+                    )
             }
 
             // Guards against a server that is ordered beyond its memory and crashes.
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.fleet.ServerState
+import org.jacinthlink.decision.layout.GroupMove
 import org.jacinthlink.decision.layout.LayoutServer
 import org.jacinthlink.decision.layout.LayoutState
 import org.jacinthlink.decision.layout.LayoutStep
@@ -55,8 +56,8 @@
         plan.refresh(engine, ready, nowMs)
         val states = servers.registered(service).filter { it.isUsable(engine) }
             .mapNotNull { it.toState(engine, plan) }
-        val isIdle = { group: Int -> plan.isIdle(group, states.filter { it.group == group }) }
-        nextSteps(states, engine.layerMb, LOADS_AT_ONCE, isIdle).forEach { step ->
+        val moves = plan.moves(states)
+        nextSteps(states, engine.layerMb, LOADS_AT_ONCE, moves::getValue).forEach { step ->
             val server = ready.first { it.instanceId == step.instanceId }
             when (step) {
                 is LayoutStep.Load -> orders.load(server, step.layers, token)
@@ -92,15 +93,29 @@
                 servers.byId(target.instanceId)?.let { it.zone to target.group }
             }.toMap()
 
-        /** True if no requests pass through a group, or if they have had time to leave. */
-        fun isIdle(group: Int, states: List<LayoutState>): Boolean {
-            if (!states.isBroken()) {
-                brokenSinceMs.remove(group)
-                return true
+        /** How each group moves now. */
+        fun moves(states: List<LayoutState>): Map<Int, GroupMove> {
+            val groups = states.groupBy { it.group }
+            val broken = groups.filterValues { it.isBroken() }.keys
+            brokenSinceMs.keys.retainAll(broken)
+            broken.forEach { brokenSinceMs.putIfAbsent(it, clockMs()) }
+            return groups.keys.associateWith { group ->
+                when {
+                    group !in broken || broken.size == groups.size && !isFresh(states) ->
+                        GroupMove.STEPWISE
+                    isIdle(group) -> GroupMove.TOGETHER
+                    else -> GroupMove.WAIT
+                }
             }
-            val sinceMs = brokenSinceMs.getOrPut(group) { clockMs() }
+        }
+
+        private fun isFresh(states: List<LayoutState>): Boolean = states.all { it.held == null }
+
+        /** True if no requests pass through a group, or if they have had time to leave. */
+        private fun isIdle(group: Int): Boolean {
             val zones = groupByZone.filterValues { it == group }.keys
-            return zones.all { usedTokens(it) == 0L } || clockMs() - sinceMs > LEAVE_MS
+            val brokenMs = clockMs() - (brokenSinceMs[group] ?: clockMs())
+            return zones.all { usedTokens(it) == 0L } || brokenMs > LEAVE_MS
         }
 
         /** Plans anew when servers have come or gone, once that has lasted for a while. */
