Serve metrics, reload settings, test the router before stand-ins

Counters and histograms are served as Prometheus text on the metrics port; SIGHUP and a changed file reload the settings. A stand-in of the store and one of an engine with layers, after the published protocol, let the router be tested without the bench: resume, silence, refusal, at most one run, cancelled work, store outage.

--- a/router/src/main/kotlin/org/jacinthlink/router/Main.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Main.kt
@@ -34,15 +34,16 @@
             when {
                 check -> println("$path: valid")
                 warmUp -> warmUp(loaded.value)
-                else -> run(loaded.value)
+                else -> run(loaded.value, Path.of(path))
             }
     }
 }
 
-private fun run(settings: RouterSettings) {
+private fun run(settings: RouterSettings, file: Path) {
     val router = router(settings)
     Runtime.getRuntime().addShutdownHook(Thread({ router.drain() }, "drain"))
     router.start()
+    router.watchSettings(file)
     Thread.currentThread().join()
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router
 
+import java.nio.file.Path
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.retry.SendCounts
@@ -39,11 +40,12 @@
 import org.jacinthlink.transport.parseAddress
 
 /** A running router; all its parts live on one event loop. */
-class Router internal constructor(private val settings: RouterSettings) {
+class Router internal constructor(private var settings: RouterSettings) {
     private val log = decisionLog(settings.instance)
     private val loop: EventLoop = eventLoop("router")
     private val clockMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
     private val http = httpClient(loop)
+    private val metrics = RouterMetrics()
     private val store = StoreClient(loop, http, settings.store.toAddress())
     private val engines = EngineClient(loop, http)
     private val paths: PathBook by lazy { PathBook(log, servers) }
@@ -64,7 +66,7 @@
     private val admission = StreamAdmission(paths, faults, clockMs)
     private val context =
         RelayContext(
-            loop, http, log, servers, faults, paths, admission, ledger, clockMs
+            loop, http, log, servers, faults, paths, admission, ledger, metrics, clockMs
         )
     private val requests = RequestRouter(context, configuration, streams)
     private val operatorWatch = watch(OPERATOR_PREFIX, configuration)
@@ -96,6 +98,11 @@
             ::limits,
             snapshotHandler(configuration, servers)
         )
+        listen(loop, Address(settings.host, settings.metricsPort), ::limits) { _, exchange ->
+            val type = HeaderField("Content-Type", "text/plain; version=0.0.4")
+            exchange.respond(OK, listOf(type), metrics.text().toByteArray())
+        }
+        registerGauges()
         peers.start()
         loop.execute {
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
@@ -112,6 +119,33 @@
         }
     }
 
+    /** Address for callers, once started. */
+    val clientsAddress: Address get() = Address(settings.host, clients.port)
+
+    /** Address for readiness questions, once started. */
+    val readinessAddress: Address get() = Address(settings.host, readiness.port)
+
+    /** Follows changes of the settings in [file]. */
+    fun watchSettings(file: Path) {
+        SettingsWatch(file, loop, log) { settings = it }.start()
+    }
+
+    /** Closes all sockets at once. */
+    fun stop() {
+        loop.stop()
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("jacinthlink.streams") { streams.size }
+        metrics.gauge("jacinthlink.streams.waiting") { admission.waitingCount }
+        metrics.gauge("jacinthlink.servers") { servers.all.size }
+        metrics.gauge("jacinthlink.servers.failed") { faults.failed.size }
+        metrics.gauge("jacinthlink.peers") { peers.alive.size }
+        metrics.gauge("jacinthlink.store.age.ms") { storeAgeMs() ?: -1 }
+        metrics.gauge("jacinthlink.store.calls") { store.callCount }
+        metrics.gauge("jacinthlink.configuration.version") { configuration.current?.version ?: -1 }
+    }
+
     /** Sends a request to this router, so that the classes that carry requests are loaded. */
     fun askItself() {
         listOf(clients, readiness).forEach { listener ->
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -45,7 +45,7 @@
     }
 
     private fun send(server: BackendServer, cause: String, nowMs: Long) {
-        if (sends == 0) context.ledger.onFirstSend(nowMs)
+        if (sends == 0) context.ledger.onFirstSend(nowMs) else context.metrics.repeated(cause)
         sends++
         runs++
         tried.add(server.instanceId)
@@ -142,6 +142,8 @@
 
     private fun deliver(send: Send) {
         close()
+        context.metrics.ended("plain", send.info.status, "answered")
+        context.metrics.answered(context.clockMs() - job.startedAtMs)
         context.log.event(
             "answered",
             "request" to job.id,
@@ -159,6 +161,7 @@
 
     private fun finish(status: Int, retryAfterMs: Long?, cause: String) {
         close()
+        context.metrics.ended("plain", status, cause)
         context.log.event(
             "refused",
             "request" to job.id,
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayContext.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayContext.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.decision.retry.RetryLedger
 import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.router.RouterMetrics
 import org.jacinthlink.router.beliefs.ServerDirectory
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.HttpClient
@@ -16,5 +17,6 @@
     val paths: PathBook,
     val admission: StreamAdmission,
     val ledger: RetryLedger,
+    val metrics: RouterMetrics,
     val clockMs: () -> Long
 )
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -114,7 +114,12 @@
     }
 
     private fun send(path: ServingPath, cause: String, nowMs: Long) {
-        if (sends == 0) context.ledger.onFirstSend(nowMs)
+        if (sends == 0) {
+            context.ledger.onFirstSend(nowMs)
+            context.metrics.queued(nowMs - job.startedAtMs)
+        } else {
+            context.metrics.repeated(cause)
+        }
         sends++
         runs++
         context.log.event(
@@ -201,6 +206,7 @@
         if (headIsSent) return
         headIsSent = true
         firstEventAtMs = context.clockMs()
+        context.metrics.firstEvent(context.clockMs() - job.startedAtMs)
         job.exchange.startStream(current.info.status, clientHeaders(current.headers))
     }
 
@@ -279,6 +285,8 @@
         streams.remove(this)
         context.admission.leave(this, job.service)
         val nowMs = context.clockMs()
+        context.metrics.ended("stream", status, cause)
+        context.metrics.longestGap(longestGapMs)
         context.log.event(
             "ended",
             "request" to job.id,
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -0,0 +1,163 @@
+package org.jacinthlink.router
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+import org.jacinthlink.router.standins.EngineStandIn.Script
+import org.jacinthlink.router.standins.RouterFixture
+import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.transport.valueOf
+
+class RouterSpec :
+    DescribeSpec({
+        fun ids(answer: String) =
+            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
+
+        describe("a router before engines that start empty") {
+            val fixture = RouterFixture()
+            afterSpec { fixture.close() }
+
+            it("lets each zone hold every layer once, under a fencing token") {
+                fixture.awaitLayers()
+                listOf("a", "b").forEach { zone ->
+                    val held = fixture.engines.filter { it.zone == zone }.mapNotNull { it.layers }
+                    (0 until 8).all { layer -> held.count { layer in it } == 1 } shouldBe true
+                }
+                fixture.engines.all { it.token > 0 } shouldBe true
+            }
+
+            it("relays a stream with status, signature and each event once") {
+                fixture.awaitLayers()
+                val answer = fixture.call("/s/x", "id-1")
+                answer shouldStartWith "HTTP/1.1 200"
+                answer shouldContain "Response-Seal: seal-"
+                ids(answer) shouldBe listOf(1, 2, 3, 4, 5)
+            }
+
+            // Guards against workspaces and keys that callers could forge or that leak.
+            it("sets the workspace of the key, and hands on no key and no more time than is left") {
+                fixture.awaitLayers()
+                fixture.call("/safe/x", "id-2", "GET", "Tenant: forged\r\n")
+                val run = fixture.desks.flatMap { it.runs }.last { it.id() == "id-2" }
+                run.request.headers.filter { it.name.equals("Tenant", true) }.map { it.value } shouldBe
+                    listOf("shop")
+                run.request.headers.valueOf("Api-Key") shouldBe null
+                val leftMs = run.request.headers.valueOf("Request-Deadline")?.toLong() ?: Long.MAX_VALUE
+                leftMs shouldBeLessThanOrEqual 3_000
+            }
+
+            it("answers 404 without a route and 401 without a valid key") {
+                fixture.awaitLayers()
+                fixture.call("/none/x", "id-3") shouldStartWith "HTTP/1.1 404"
+                fixture.store.write("op/config", configuration(2, keys = "\"other\""))
+                await { fixture.call("/s/x", "id-4").startsWith("HTTP/1.1 401") }
+                fixture.store.write("op/config", configuration(3))
+                await { fixture.call("/s/x", "id-5").startsWith("HTTP/1.1 200") }
+            }
+
+            // Guards against a configuration that goes back to an older one.
+            it("keeps the newest configuration when an older or unreadable one is written") {
+                fixture.awaitLayers()
+                fixture.store.write("op/config", configuration(2, keys = "\"other\""))
+                fixture.store.write("op/config", "{")
+                Thread.sleep(400)
+                fixture.call("/s/x", "id-6") shouldStartWith "HTTP/1.1 200"
+            }
+        }
+
+        describe("failures of engines") {
+            // Guards against streams that end with their engine, or tell an event twice.
+            it("let a cut stream go on at another path behind its last whole event") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    val firsts = fixture.engines.filter { it.layers?.from == 0 }
+                    firsts.first().script = Script.Cut(2)
+                    val answers = (1..4).map { fixture.call("/s/x", "cut-$it") }
+                    answers.forEach { ids(it) shouldBe listOf(1, 2, 3, 4, 5) }
+                    answers.forEach { it shouldEndWith "0\r\n\r\n" }
+                }
+            }
+
+            // Guards against streams that wait for an engine that has gone dark.
+            it("let streams leave a path that falls silent") {
+                RouterFixture(eventCount = 40).use { fixture ->
+                    fixture.awaitLayers()
+                    val first = fixture.engines.first { it.layers?.from == 0 }
+                    val open = (1..8).map { fixture.open("/s/x", "dark-$it") }
+                    await { first.runs.size >= 3 }
+                    first.script = Script.Silent(0)
+                    first.stop()
+                    val answers =
+                        open.map { it.getInputStream().readAllBytes().decodeToString() }
+                    answers.forEach { ids(it) shouldBe (1..40).toList() }
+                }
+            }
+
+            it("that leave no path are told at once as not run, with a time to come back") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.engines.forEach { it.script = Script.Full }
+                    val answer = fixture.call("/s/x", "full-1")
+                    answer shouldStartWith "HTTP/1.1 503"
+                    answer shouldContain "Retry-After: "
+                    fixture.engines.flatMap { it.runs } shouldHaveSize 0
+                }
+            }
+        }
+
+        describe("a request that may run once") {
+            // Guards against a booking that is recorded twice.
+            it("is not sent again when its answer is lost, and is not said to be unrun") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.desks.forEach { it.script = Script.LoseAnswer }
+                    fixture.call("/once/x", "once-1") shouldStartWith "HTTP/1.1 502"
+                    fixture.desks.flatMap { it.runs } shouldHaveSize 1
+                }
+            }
+
+            it("goes to another server when the first has turned it away") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.desks[0].script = Script.Full
+                    repeat(4) {
+                        fixture.call("/once/x", "turned-$it") shouldStartWith "HTTP/1.1 200"
+                    }
+                    fixture.desks[0].runs shouldHaveSize 0
+                }
+            }
+        }
+
+        describe("a caller who leaves") {
+            // Guards against engines that work for nobody.
+            it("ends the work at the engine") {
+                RouterFixture(eventCount = 500).use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.open("/s/x", "gone-1").use { it.getInputStream().read() }
+                    await { fixture.engines.sumOf { it.cancelled.get() } == 1 }
+                }
+            }
+        }
+
+        describe("an outage of the store") {
+            it("leaves the last configuration and servers in force") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.store.isDown = true
+                    Thread.sleep(1_000)
+                    val answer = fixture.call("/s/x", "down-1")
+                    answer shouldStartWith "HTTP/1.1 200"
+                    answer shouldNotContain "Retry-After"
+                }
+            }
+        }
+    })
+
+private fun org.jacinthlink.router.standins.EngineStandIn.Run.id(): String? =
+    request.headers.valueOf("Attempt-Id")
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
@@ -0,0 +1,94 @@
+package org.jacinthlink.router.beliefs
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.platform.store.StoreChange
+import org.jacinthlink.platform.store.StoreItem
+import org.jacinthlink.router.decisionLog
+
+class ServerDirectorySpec :
+    DescribeSpec({
+        fun item(id: String, layers: String, bornAtMs: Long = 1) =
+            StoreItem(
+                "servers/$id",
+                """{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","slots":1,
+                "kind":"l4","born":$bornAtMs$layers}""".toByteArray(),
+                1,
+                1,
+                0
+            )
+
+        var nowMs = 0L
+        lateinit var directory: ServerDirectory
+
+        beforeEach {
+            nowMs = 10_000
+            directory = ServerDirectory(decisionLog("test"), { nowMs }) {}
+            directory.onSnapshot(listOf(item("a", ""), item("b", "")))
+        }
+
+        fun known() = directory.ready("s").map { it.instanceId }
+
+        describe("a server that is missing after an outage of the store") {
+            // Guards against a fleet that is given up because its entries lapsed meanwhile.
+            it("stays for the time in which living servers come back") {
+                directory.onSnapshot(listOf(item("a", "")))
+                nowMs += 2_199
+                directory.expire(nowMs)
+                known() shouldContainExactly listOf("a", "b")
+                nowMs += 1
+                directory.expire(nowMs)
+                known() shouldContainExactly listOf("a")
+            }
+
+            it("stays for good when it comes back") {
+                directory.onSnapshot(emptyList())
+                directory.onChange(StoreChange.Written(item("a", "")))
+                nowMs += 5_000
+                directory.expire(nowMs)
+                known() shouldContainExactly listOf("a")
+            }
+        }
+
+        describe("a server whose entry is removed") {
+            it("is not used any more") {
+                directory.onChange(StoreChange.Removed("servers/a", 2))
+                known() shouldContainExactly listOf("b")
+            }
+        }
+
+        describe("layers") {
+            // Guards against requests for layers that an engine has given up.
+            it("that a server told itself go before an older entry") {
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                val entry = ""","layers":{"from":0,"to":9}"""
+                directory.onChange(StoreChange.Written(item("a", entry)))
+                directory.byId("a")?.layers shouldBe LayerRange(0, 5)
+            }
+
+            it("of a former start are forgotten") {
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.onChange(StoreChange.Written(item("a", "", bornAtMs = 2)))
+                directory.byId("a")?.layers shouldBe null
+            }
+
+            it("that are about to be given up are not usable") {
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.limitLayers(mapOf("a" to LayerRange(0, 3)))
+                val server = directory.ready("s").first()
+                server.usableLayers shouldBe LayerRange(0, 3)
+                server.layers shouldBe LayerRange(0, 5)
+            }
+        }
+
+        describe("entries that cannot be read") {
+            it("name no server") {
+                val other = ServerDirectory(decisionLog("test"), { nowMs }) {}
+                other.onSnapshot(listOf(StoreItem("servers/x", "?".toByteArray(), 1, 1, 0)))
+                other.all.shouldBeEmpty()
+            }
+        }
+    })
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/PeerTableSpec.kt
@@ -0,0 +1,35 @@
+package org.jacinthlink.router.peers
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+
+class PeerTableSpec :
+    DescribeSpec({
+        fun news(instance: String) = PeerNews(instance, "10.0.0.${instance.length}", 0)
+
+        describe("routers that have been heard of") {
+            it("are alive until several datagrams in a row are lost") {
+                val table = PeerTable("own")
+                table.hear(news("a"), 0) shouldBe true
+                table.hear(news("a"), 200) shouldBe false
+                table.alive(1_700).map { it.instance } shouldContainExactly listOf("a")
+                table.alive(1_701).shouldBeEmpty()
+            }
+
+            it("do not include this router") {
+                val table = PeerTable("own")
+                table.hear(news("own"), 0) shouldBe false
+                table.alive(0).shouldBeEmpty()
+            }
+
+            // Guards against datagrams that are sent for ever to machines that were replaced.
+            it("are forgotten after a long silence") {
+                val table = PeerTable("own")
+                table.hear(news("a"), 0)
+                table.forget(30_001).map { it.instance } shouldContainExactly listOf("a")
+                table.hosts.shouldBeEmpty()
+            }
+        }
+    })
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -0,0 +1,101 @@
+package org.jacinthlink.router.standins
+
+import java.net.Socket
+import org.jacinthlink.router.Router
+import org.jacinthlink.router.RouterSettings
+import org.jacinthlink.router.router
+import org.jacinthlink.transport.EventLoop
+import org.jacinthlink.transport.eventLoop
+
+/** A router in this process before stand-ins of the store, of two zones of engines and a desk. */
+internal class RouterFixture(eventCount: Int = 5, eventMs: Long = 20) : AutoCloseable {
+    private val loop: EventLoop = eventLoop("stand-ins")
+    val store = StoreStandIn(loop)
+    val engines =
+        listOf("a1" to "a", "a2" to "a", "b1" to "b", "b2" to "b")
+            .map { (id, zone) -> EngineStandIn(loop, id, zone, eventCount, eventMs) }
+    val desks = listOf("d1", "d2").map { EngineStandIn(loop, it, "a") }
+    val router: Router
+
+    init {
+        store.write("op/config", configuration())
+        engines.forEach { store.write("servers/${it.instanceId}", it.entry("model")) }
+        desks.forEach { store.write("servers/${it.instanceId}", it.entry("desk")) }
+        router = router(settings())
+        router.start()
+    }
+
+    /** Engine with [instanceId]. */
+    fun engine(instanceId: String): EngineStandIn = engines.first { it.instanceId == instanceId }
+
+    /** Waits until each engine holds layers and the router says that it is ready. */
+    fun awaitLayers() = await { engines.all { it.layers != null } && status() == 200 }
+
+    /** Sends a request on a connection of its own. */
+    fun open(path: String, id: String, method: String = "POST", extra: String = ""): Socket =
+        Socket("127.0.0.1", router.clientsAddress.port).apply {
+            soTimeout = 10_000
+            getOutputStream().write(
+                (
+                    "$method $path HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $id\r\n" +
+                        "Request-Deadline: 3000\r\nApi-Key: key\r\nToken-Counts: 100,20\r\n" +
+                        "Content-Length: 2\r\nConnection: close\r\n$extra\r\nhi"
+                ).toByteArray()
+            )
+        }
+
+    /** Sends a request and reads the whole answer. */
+    fun call(path: String, id: String, method: String = "POST", extra: String = ""): String =
+        open(path, id, method, extra).use { it.getInputStream().readAllBytes().decodeToString() }
+
+    private fun status(): Int =
+        try {
+            Socket("127.0.0.1", router.readinessAddress.port).use {
+                it.getOutputStream()
+                    .write("GET /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
+                it.getInputStream().readAllBytes().decodeToString().substring(9, 12).toInt()
+            }
+        } catch (_: java.io.IOException) {
+            0
+        }
+
+    private fun settings() =
+        RouterSettings(
+            instance = "r1",
+            availabilityZone = "a",
+            clients = "127.0.0.1:0",
+            readiness = "127.0.0.1:0",
+            host = "127.0.0.1",
+            peerPort = 0,
+            metricsPort = 0,
+            store = store.address.toString()
+        )
+
+    override fun close() {
+        router.stop()
+        loop.stop()
+    }
+}
+
+/** Waits until [condition] holds. */
+internal fun await(limitMs: Long = 10_000, condition: () -> Boolean) {
+    val endsAt = System.nanoTime() + limitMs * 1_000_000
+    while (!condition()) {
+        check(System.nanoTime() < endsAt) { "condition did not hold within $limitMs ms" }
+        Thread.sleep(10)
+    }
+}
+
+/** A configuration with a stream route, a safe and an unsafe one. */
+internal fun configuration(version: Int = 1, keys: String = "\"key\""): String {
+    fun route(path: String, kind: String, service: String, attempts: Int) =
+        """{"name":"$path","host":"h.example","pathPrefix":"/$path/","kind":"$kind",
+        "timeoutMs":3000,"targetLatencyMs":500,"priority":0,"service":"$service",
+        "maxAttempts":$attempts,"resumeStreams":${kind == "stream"},"targetGapMs":200}"""
+    return """{"version":$version,"routes":[${route("s", "stream", "model", 2)},
+        ${route("safe", "safe", "desk", 2)},${route("once", "unsafe", "desk", 1)}],
+        "services":[{"name":"model","engine":{"slots":134,"kvTokenBytes":100000,"stride":2,
+        "models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":1000,"layers":8,
+        "layerMb":100,"activationBytes":1,"kinds":[{"name":"card","mb":2000}]}},
+        {"name":"desk"}],"tenants":[{"name":"shop","apiKeys":[$keys]}]}"""
+}
