--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -29,7 +29,13 @@
     val ideal = splitAnew(engine, ordered) ?: return present
     val isWhole = chain.firstGap(engine.layerCount) == null
     val isRoomy = chain.roomTokens(engine) >= ideal.roomTokens(engine) * MIN_ROOM_SHARE
-    return if (isWhole && isRoomy) present else ideal.map { Placement(it.server.instanceId, it.layers) }
+    return if (isWhole &&
+        isRoomy
+    ) {
+        present
+    } else {
+        ideal.map { Placement(it.server.instanceId, it.layers) }
+    }
 }
 
 private fun splitAnew(engine: EngineProfile, servers: List<LayoutServer>): List<Link>? {
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -8,6 +8,7 @@
  * @property held Layers that it holds now, or null.
  * @property wanted Layers that it is meant to hold, or null if it is a spare or leaves.
  * @property isBusy True while it carries out an order.
+ * @property isLoading True if that order loads layers and gives none up.
  * @property group The servers that share a copy of the model.
  */
 data class LayoutState(
@@ -16,6 +17,7 @@
     val held: LayerRange?,
     val wanted: LayerRange?,
     val isBusy: Boolean,
+    val isLoading: Boolean = isBusy,
     val group: Int = 0
 )
 
@@ -58,7 +60,7 @@
         groups.filterKeys { moveOf(it) == GroupMove.STEPWISE }.values
             .flatMap { stepwise(it, layerMb) }
     val (loads, releases) = steps.partition { it.step is LayoutStep.Load }
-    val running = states.count { it.isBusy } + together.size
+    val running = states.count { it.isLoading } + together.size
     val urgentFirst = loads.sortedByDescending { it.missingCount }
     return together + releases.map { it.step } +
         urgentFirst.take((loadsAtOnce - running).coerceAtLeast(0)).map { it.step }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -64,8 +64,11 @@
             ?: return null
         val homeFrom = servers.filter { it.zone == zone && it.range().from > at }
             .minOfOrNull { it.range().from }
-        val end = if (next.zone == zone || homeFrom == null) next.range().to
-        else minOf(next.range().to, homeFrom)
+        val end = if (next.zone == zone || homeFrom == null) {
+            next.range().to
+        } else {
+            minOf(next.range().to, homeFrom)
+        }
         parts.add(PathPart(next, LayerRange(at, end)))
         at = end
         if (parts.size > MAX_PARTS) return null
--- a/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutStepsSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutStepsSpec.kt
@@ -13,8 +13,8 @@
             LayoutState(id, 21_600.0, held, wanted, isBusy)
 
         fun steps(vararg states: LayoutState) = nextSteps(states.toList(), 1_750.0, 6) {
-                if (states.toList().isBroken()) GroupMove.TOGETHER else GroupMove.STEPWISE
-            }
+            if (states.toList().isBroken()) GroupMove.TOGETHER else GroupMove.STEPWISE
+        }
 
         describe("steps towards a layout") {
             it("are none when all is as wanted") {
@@ -55,6 +55,24 @@
                     )
             }
 
+            // Guards against loads that wait for engines which only wait for passing requests.
+            it("load while other engines wait to give layers up") {
+                val waiting =
+                    (0 until 6).map {
+                        LayoutState(
+                            "w$it",
+                            21_600.0,
+                            LayerRange(it, it + 2),
+                            LayerRange(it, it + 1),
+                            isBusy = true,
+                            isLoading = false
+                        )
+                    }
+                val states = waiting + state("x", LayerRange(8, 10), LayerRange(7, 10))
+                nextSteps(states, 1_750.0, 6) { GroupMove.STEPWISE } shouldContainExactly
+                    listOf(LayoutStep.Load("x", LayerRange(7, 10)))
+            }
+
             // Guards against layers that are kept for long by requests that still pass.
             it("wait until nothing passes through a group whose server leaves") {
                 val states =
--- a/decision/src/test/kotlin/org/jacinthlink/decision/retry/RetryLedgerSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/RetryLedgerSpec.kt
@@ -21,7 +21,8 @@
                             SendCounts(others.sumOf { it.first }, others.sumOf { it.repeats })
                         ledger.onNews(sum, 7, nowMs)
                     }
-                    repeats += ledgers.sumOf { ledger -> (1..500).count { ledger.tryRepeat(nowMs) } }
+                    repeats +=
+                        ledgers.sumOf { ledger -> (1..500).count { ledger.tryRepeat(nowMs) } }
                 }
                 repeats shouldBeLessThanOrEqual (0.2 * 8 * 60 + 392).toInt()
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/DecisionLog.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/DecisionLog.kt
@@ -18,7 +18,7 @@
     private fun StringBuilder.appendField(name: String, value: Any) {
         append(' ').append(name).append('=')
         val text = value.toString().take(MAX_VALUE_LENGTH)
-        if (text.isNotEmpty() && text.none { it <= ' ' || it == '"' || it == '=' }) {
+        if (text.isNotEmpty() && text.none(::needsQuotes)) {
             append(text)
         } else {
             append('"').append(text.replace('"', '\'').map { printable(it) }.joinToString(""))
@@ -26,6 +26,8 @@
         }
     }
 
+    private fun needsQuotes(char: Char): Boolean = char <= ' ' || char in "\"="
+
     private fun printable(char: Char): Char = if (char.isISOControl()) ' ' else char
 
     private companion object {
--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -30,7 +30,13 @@
 
     override fun handle(request: ServerRequest, exchange: ServerExchange) {
         val info = requestInfo(request)
-        if (configuration.current == null) early.hold(request, exchange) else route(request, info, exchange)
+        if (configuration.current ==
+            null
+        ) {
+            early.hold(request, exchange)
+        } else {
+            route(request, info, exchange)
+        }
     }
 
     /** Handles the requests that came before the first configuration. */
@@ -87,8 +93,11 @@
                 nowMs + limitMs,
                 current.version
             )
-        if (service.engine != null) StreamRelay(context, streams, job).start()
-        else PlainRelay(context, balance, job).start()
+        if (service.engine != null) {
+            StreamRelay(context, streams, job).start()
+        } else {
+            PlainRelay(context, balance, job).start()
+        }
     }
 
     private fun refuse(
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -60,7 +60,14 @@
         LayerOrders(loop, engines, servers, faults, log, clockMs) { lease.lose("fenced by $it") }
     private val duty =
         LayoutDuty(
-            configuration, servers, faults, lease, orders, { paths.usedTokens(it) }, log, clockMs
+            configuration,
+            servers,
+            faults,
+            lease,
+            orders,
+            { paths.usedTokens(it) },
+            log,
+            clockMs
         )
     private val ledger = newLedger()
     private val admission = StreamAdmission(paths, faults, clockMs)
@@ -178,7 +185,9 @@
         if (!isDraining && election.shouldTry(clockMs(), holderIsKnown, others)) lease.tryTake()
         follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
         val tokens = HashMap<String, Long>()
-        alive.forEach { peer -> peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) } }
+        alive.forEach { peer ->
+            peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) }
+        }
         paths.notePeers(tokens)
         val sends = SendCounts(alive.sumOf { it.firstSends }, alive.sumOf { it.repeats })
         ledger.onNews(sends, alive.size, clockMs())
@@ -239,8 +248,11 @@
 
     private fun reported(server: BackendServer, news: PeerNews) {
         val cause = "reported by ${news.instance}"
-        if (server.address in news.leaving) faults.checkHealth(server, cause)
-        else faults.check(server, cause)
+        if (server.address in news.leaving) {
+            faults.checkHealth(server, cause)
+        } else {
+            faults.check(server, cause)
+        }
     }
 
     private fun isReady(): Boolean {
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -17,7 +17,13 @@
     /** Counts a request that ended with [status] for [cause]. */
     fun ended(kind: String, status: Int, cause: String) {
         registry.counter(
-            "jacinthlink.requests", "kind", kind, "status", status.toString(), "cause", cause
+            "jacinthlink.requests",
+            "kind",
+            kind,
+            "status",
+            status.toString(),
+            "cause",
+            cause
         ).increment()
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/SettingsWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/SettingsWatch.kt
@@ -1,9 +1,9 @@
 package org.jacinthlink.router
 
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.attribute.FileTime
-import java.io.IOException
 import org.jacinthlink.api.Failure
 import org.jacinthlink.api.Success
 import org.jacinthlink.runtime.settings.loadSettings
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -147,7 +147,12 @@
         missingSinceMs.remove(instanceId)
         learntAtMs.remove(instanceId)
         val gone = servers.remove(instanceId) ?: return
-        log.event("server_gone", "server" to instanceId, "address" to gone.address, "cause" to cause)
+        log.event(
+            "server_gone",
+            "server" to instanceId,
+            "address" to gone.address,
+            "cause" to cause
+        )
     }
 
     private fun decode(item: StoreItem): BackendServer? =
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -22,6 +22,9 @@
 ) {
     private val underWay = HashMap<String, Order>()
 
+    /** Orders that each engine has accepted, so that one that arrives late is refused. */
+    private val orderCounts = HashMap<String, Long>()
+
     /** Engines that give layers up, and what may still be used of them; empty for nothing. */
     val limits: Map<String, LayerRange>
         get() = underWay.filterValues { it.givesUp }.mapValues { it.value.usable }
@@ -29,14 +32,19 @@
     /** True while [instanceId] carries out an order. */
     fun isUnderWay(instanceId: String): Boolean = instanceId in underWay
 
+    /** True while [instanceId] loads layers and gives none up. */
+    fun isLoading(instanceId: String): Boolean = underWay[instanceId]?.givesUp == false
+
     /** Forgets orders to servers that are not among [instanceIds]. */
     fun retain(instanceIds: Set<String>) {
         underWay.keys.retainAll(instanceIds)
+        orderCounts.keys.retainAll(instanceIds)
     }
 
     /** Forgets all orders. */
     fun clear() {
         underWay.clear()
+        orderCounts.clear()
     }
 
     /** Lets [server] load layers until it holds [layers]. */
@@ -54,7 +62,7 @@
     }
 
     private fun send(server: BackendServer, order: Order) {
-        engines.place(server, order.layers, order.token, null) { answer ->
+        engines.place(server, order.layers, order.token, orderCounts[server.instanceId]) { answer ->
             log.event(
                 "layers_ordered",
                 "server" to server.instanceId,
@@ -67,7 +75,10 @@
             when (answer) {
                 OrderAnswer.Begun, OrderAnswer.AlreadyDone -> followLater(server, order)
                 OrderAnswer.Fenced -> onFenced(server.instanceId)
-                else -> loop.schedule(RETRY_MS) { end(server, order) }
+                else -> {
+                    orderCounts.remove(server.instanceId)
+                    loop.schedule(RETRY_MS) { end(server, order) }
+                }
             }
         }
     }
@@ -80,6 +91,7 @@
 
     private fun follow(server: BackendServer, order: Order) {
         engines.report(server, REPORT_TIMEOUT_MS) { report ->
+            if (report != null) orderCounts[server.instanceId] = report.orderCount
             when {
                 underWay[server.instanceId] !== order -> Unit
                 report == null -> {
@@ -88,7 +100,10 @@
                 }
                 isDone(report, order) -> {
                     servers.learnLayers(
-                        server.instanceId, report.bornAtMs, report.layers, clockMs()
+                        server.instanceId,
+                        report.bornAtMs,
+                        report.layers,
+                        clockMs()
                     )
                     end(server, order)
                 }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -74,7 +74,16 @@
         val group = target?.group ?: plan.groupByZone[zone] ?: return null
         val memoryMb = engine.accelerators.getValue(accelerator.orEmpty()).memoryMb
         val isBusy = orders.isUnderWay(instanceId)
-        return LayoutState(instanceId, memoryMb, layers, target?.layers, isBusy, group)
+        val isLoading = orders.isLoading(instanceId)
+        return LayoutState(
+            instanceId,
+            memoryMb,
+            layers,
+            target?.layers,
+            isBusy,
+            isLoading,
+            group
+        )
     }
 
     /** What the servers of a service are meant to hold. */
@@ -133,7 +142,12 @@
             val former = targets.filterKeys { servers.byId(it)?.layers != null }
             val inputs = ready.map {
                 val memoryMb = engine.accelerators.getValue(it.accelerator.orEmpty()).memoryMb
-                LayoutServer(it.instanceId, it.zone, memoryMb, former[it.instanceId]?.layers ?: it.layers)
+                LayoutServer(
+                    it.instanceId,
+                    it.zone,
+                    memoryMb,
+                    former[it.instanceId]?.layers ?: it.layers
+                )
             }
             targets = planLayout(engine, inputs).associateBy { it.instanceId }
             log.event(
@@ -145,7 +159,7 @@
     }
 
     private companion object {
-        /** Servers register within some seconds of a common start; a later one would move others. */
+        /** Servers register within some seconds of a start; a later one would move others. */
         const val FRESH_SETTLE_MS = 1_500L
 
         /** A short silence of a server is no loss. */
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFollower.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFollower.kt
@@ -1,11 +1,11 @@
 package org.jacinthlink.router.peers
 
-import org.jacinthlink.transport.BufferedCall
-import org.jacinthlink.transport.BufferedResult
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ConfigurationBelief
 import org.jacinthlink.router.beliefs.ServerDirectory
 import org.jacinthlink.transport.Address
+import org.jacinthlink.transport.BufferedCall
+import org.jacinthlink.transport.BufferedResult
 import org.jacinthlink.transport.ClientRequest
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.HeaderField
@@ -29,18 +29,25 @@
      * @param ownStoreAgeMs Since the store last answered this router, or null if it never did.
      */
     fun tick(peers: List<PeerNews>, ownStoreAgeMs: Long?, waitMs: Long) {
-        val ownVersion = configuration.current?.version
+        if (isAsking) return
+        val ownVersion = configuration.current?.version ?: NO_VERSION
         val isBlind = ownStoreAgeMs == null || ownStoreAgeMs > waitMs + BLIND_MS
-        val isBehind = peers.any { (it.configurationVersion ?: -1) > (ownVersion ?: -1) }
-        if (isAsking || !isBlind && !isBehind) return
-        val informed = peers.filter { peer ->
-            (peer.storeAgeMs ?: Long.MAX_VALUE) < (ownStoreAgeMs ?: Long.MAX_VALUE) ||
-                (peer.configurationVersion ?: -1) > (ownVersion ?: -1)
+        val ahead = peers.filter { it.version() > ownVersion }.maxByOrNull { it.version() }
+        when {
+            ahead != null -> ask(ahead, isBlind)
+            isBlind -> informed(peers, ownStoreAgeMs)?.let { ask(it, takesServers = true) }
         }
-        val peer = informed.maxByOrNull { it.configurationVersion ?: -1 } ?: return
-        ask(informed[turn++ % informed.size].takeIf { !isBehind } ?: peer, isBlind)
     }
 
+    /** A peer that has heard from the store later than this router, another one each time. */
+    private fun informed(peers: List<PeerNews>, ownStoreAgeMs: Long?): PeerNews? {
+        val ownAgeMs = ownStoreAgeMs ?: Long.MAX_VALUE
+        val candidates = peers.filter { (it.storeAgeMs ?: Long.MAX_VALUE) < ownAgeMs }
+        return if (candidates.isEmpty()) null else candidates[turn++ % candidates.size]
+    }
+
+    private fun PeerNews.version(): Long = configurationVersion ?: NO_VERSION
+
     private fun ask(peer: PeerNews, takesServers: Boolean) {
         isAsking = true
         val address = Address(peer.host, peerPort)
@@ -62,6 +69,7 @@
     }
 
     private companion object {
+        const val NO_VERSION = -1L
         const val TIMEOUT_MS = 500
 
         /** The store answers in a few ms; after this time without an answer it is out of reach. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -101,7 +101,11 @@
 
     private fun recovered(address: String) {
         val fault = faults.remove(address) ?: return
-        log.event("server_recovered", "address" to address, "failed_ms" to clockMs() - fault.sinceMs)
+        log.event(
+            "server_recovered",
+            "address" to address,
+            "failed_ms" to clockMs() - fault.sinceMs
+        )
         onChanged()
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -64,7 +64,8 @@
     /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
     fun hasOther(home: String, tokens: Long): Boolean =
         pathsByService.values.flatten().any { path ->
-            path.home != home && path.crossings == 0 &&
+            path.home != home &&
+                path.crossings == 0 &&
                 usedTokens(path.home) + tokens <= path.capacityTokens
         }
 
@@ -83,10 +84,11 @@
         avoidedUntilMs.merge(home, untilMs, ::maxOf)
     }
 
-    private fun load(path: ServingPath, tokens: Long): Double {
-        return (usedTokens(path.home) + tokens) / path.capacityTokens.coerceAtLeast(1).toDouble()
-    }
-
+    private fun load(path: ServingPath, tokens: Long): Double = (
+        usedTokens(
+            path.home
+        ) + tokens
+        ) / path.capacityTokens.coerceAtLeast(1).toDouble()
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -136,8 +136,11 @@
 
     private fun giveUp(cause: String) {
         if (open.isNotEmpty()) return
-        if (runs == 0) finish(UNAVAILABLE, RETRY_AFTER_MS, cause)
-        else finish(BAD_GATEWAY, null, cause)
+        if (runs == 0) {
+            finish(UNAVAILABLE, RETRY_AFTER_MS, cause)
+        } else {
+            finish(BAD_GATEWAY, null, cause)
+        }
     }
 
     private fun deliver(send: Send) {
@@ -196,7 +199,12 @@
 
     private fun end(send: Send, hasFailed: Boolean) {
         if (!open.remove(send)) return
-        balance.ended(send.server, context.clockMs() - send.startedAtMs, hasFailed, context.clockMs())
+        balance.ended(
+            send.server,
+            context.clockMs() - send.startedAtMs,
+            hasFailed,
+            context.clockMs()
+        )
     }
 
     private inner class Send(val server: BackendServer, val startedAtMs: Long) : ClientListener {
@@ -219,8 +227,11 @@
         override fun onFailure(failure: CallFailure) {
             end(this, hasFailed = true)
             if (isDone) return
-            if (failure == CallFailure.NOT_CONNECTED) notConnected(this)
-            else failed(this, failure.name.lowercase())
+            if (failure == CallFailure.NOT_CONNECTED) {
+                notConnected(this)
+            } else {
+                failed(this, failure.name.lowercase())
+            }
         }
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -27,7 +27,11 @@
         }
         val request =
             WaitingRequest(
-                stream, stream.priority, stream.tokens, stream.arrivedAtMs, stream.targetMs
+                stream,
+                stream.priority,
+                stream.tokens,
+                stream.arrivedAtMs,
+                stream.targetMs
             )
         when (val decision = queue.room.offer(request, nowMs)) {
             WaitDecision.Waits -> Unit
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -177,8 +177,11 @@
     }
 
     private fun named(server: BackendServer, status: Int) {
-        if (status == UNAVAILABLE) context.faults.checkHealth(server, "turned away a request")
-        else context.faults.check(server, "named by its path")
+        if (status == UNAVAILABLE) {
+            context.faults.checkHealth(server, "turned away a request")
+        } else {
+            context.faults.check(server, "named by its path")
+        }
     }
 
     private fun bodyCame(current: Send, part: ByteArray) {
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -45,10 +45,13 @@
                 fixture.awaitLayers()
                 fixture.call("/safe/x", "id-2", "GET", "Tenant: forged\r\n")
                 val run = fixture.desks.flatMap { it.runs }.last { it.id() == "id-2" }
-                run.request.headers.filter { it.name.equals("Tenant", true) }.map { it.value } shouldBe
+                run.request.headers.filter {
+                    it.name.equals("Tenant", true)
+                }.map { it.value } shouldBe
                     listOf("shop")
                 run.request.headers.valueOf("Api-Key") shouldBe null
-                val leftMs = run.request.headers.valueOf("Request-Deadline")?.toLong() ?: Long.MAX_VALUE
+                val leftMs =
+                    run.request.headers.valueOf("Request-Deadline")?.toLong() ?: Long.MAX_VALUE
                 leftMs shouldBeLessThanOrEqual 3_000
             }
 
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -40,7 +40,7 @@
                     "$method $path HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $id\r\n" +
                         "Request-Deadline: 3000\r\nApi-Key: key\r\nToken-Counts: 100,20\r\n" +
                         "Content-Length: 2\r\nConnection: close\r\n$extra\r\nhi"
-                ).toByteArray()
+                    ).toByteArray()
             )
         }
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictRequestDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictRequestDecoder.kt
@@ -6,9 +6,9 @@
 /** Decodes requests and refuses those whose length is given in two ways. */
 internal class StrictRequestDecoder(maxHeaderBytes: Int) :
     HttpRequestDecoder(MAX_LINE_BYTES, maxHeaderBytes, CHUNK_BYTES) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
-    }
+    override fun handleTransferEncodingChunkedWithContentLength(
+        message: HttpMessage
+    ): Unit = throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 
     private companion object {
         const val MAX_LINE_BYTES = 8_192
