Keep the news of a router in one place, count open requests on their own thread

drain() counted connections from another thread than the event loop, so a change of the set could end the shutdown with requests open.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -1,8 +1,7 @@
 package org.jacinthlink.router
 
 import java.nio.file.Path
-import org.jacinthlink.decision.fleet.BackendServer
-import org.jacinthlink.decision.fleet.LayerRange
+import java.util.concurrent.CompletableFuture
 import org.jacinthlink.decision.retry.SendCounts
 import org.jacinthlink.decision.retry.retryLedger
 import org.jacinthlink.platform.fleet.EngineClient
@@ -10,16 +9,14 @@
 import org.jacinthlink.platform.fleet.SERVERS_PREFIX
 import org.jacinthlink.platform.store.StoreClient
 import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.beliefs.PrefixListener
 import org.jacinthlink.router.beliefs.PrefixWatch
 import org.jacinthlink.router.beliefs.ServerDirectory
 import org.jacinthlink.router.layout.DutyElection
 import org.jacinthlink.router.layout.DutyLease
 import org.jacinthlink.router.layout.LayerOrders
 import org.jacinthlink.router.layout.LayoutDuty
-import org.jacinthlink.router.peers.LayerLimit
-import org.jacinthlink.router.peers.LayerNews
 import org.jacinthlink.router.peers.PeerExchange
-import org.jacinthlink.router.peers.PeerNews
 import org.jacinthlink.router.peers.SnapshotFollower
 import org.jacinthlink.router.peers.snapshotHandler
 import org.jacinthlink.router.relay.FaultWatch
@@ -76,19 +73,31 @@
             loop, http, log, servers, faults, paths, admission, ledger, metrics, clockMs
         )
     private val requests = RequestRouter(context, configuration, streams)
-    private val operatorWatch = watch(OPERATOR_PREFIX, configuration)
-    private val serverWatch = watch(SERVERS_PREFIX, servers)
-    private val startedAtMs = System.currentTimeMillis()
+    private val operatorWatch = watch(OPERATOR_PREFIX, OPERATOR_PAUSE_MS, configuration)
+    private val serverWatch = watch(SERVERS_PREFIX, SERVERS_PAUSE_MS, servers)
     private val election = DutyElection(settings.instance)
     private val follower =
         SnapshotFollower(loop, http, settings.peerPort, configuration, servers, log)
+    private val news =
+        RouterNews(
+            RouterIdentity(settings.instance, settings.host, System.currentTimeMillis()),
+            RouterBeliefs(configuration, servers, faults, paths, streams),
+            ledger,
+            lease,
+            duty,
+            { isDraining },
+            ::storeAgeMs,
+            clockMs
+        )
     private val peers: PeerExchange =
         PeerExchange(
             loop, store, log, Address(settings.host, settings.peerPort), settings.instance,
-            settings.seeds.map { it.toAddress().host }, clockMs, ::composeNews, ::heard
+            settings.seeds.map {
+                it.toAddress().host
+            },
+            clockMs, { news.compose() }, { news.apply(it) }
         )
     private var isDraining = false
-    private var silentPath: String? = null
     private lateinit var clients: HttpListener
     private lateinit var readiness: HttpListener
 
@@ -173,11 +182,18 @@
             clients.drain()
         }
         Thread.sleep(UNTIL_UNROUTED_MS)
-        while (clockMs() < endsAtMs && clients.activeCount > 0) Thread.sleep(DRAIN_POLL_MS)
-        log.event("stopped", "requests" to clients.activeCount)
+        while (clockMs() < endsAtMs && activeRequests() > 0) Thread.sleep(DRAIN_POLL_MS)
+        log.event("stopped", "requests" to activeRequests())
         Thread.sleep(LAST_LINES_MS)
     }
 
+    /** Counted on the event loop, which owns the connections. */
+    private fun activeRequests(): Int {
+        val count = CompletableFuture<Int>()
+        loop.execute { count.complete(clients.activeCount) }
+        return count.get()
+    }
+
     private fun peerTick() {
         val alive = peers.alive
         val holderIsKnown = lease.fencingToken != null || alive.any { it.dutyToken != null }
@@ -199,62 +215,6 @@
         return clockMs() - minOf(confirmedAtMs, serversAtMs)
     }
 
-    private fun composeNews(): PeerNews =
-        PeerNews(
-            instance = settings.instance,
-            host = settings.host,
-            startedAtMs = startedAtMs,
-            isDraining = isDraining,
-            dutyToken = lease.fencingToken,
-            configurationVersion = configuration.current?.version,
-            storeAgeMs = storeAgeMs(),
-            failed = faults.failed.toList(),
-            leaving = faults.failed.filter { faults.isLeaving(it) },
-            usedTokens = paths.ownTokens,
-            firstSends = ledger.counts(clockMs()).first,
-            silentPaths = listOfNotNull(silentPath),
-            repeats = ledger.counts(clockMs()).repeats,
-            layers = servers.learntSince(clockMs() - LAYER_NEWS_MS).map { (server, atMs) ->
-                LayerNews(
-                    server.instanceId,
-                    server.bornAtMs,
-                    clockMs() - atMs,
-                    server.layers?.from ?: 0,
-                    server.layers?.to ?: 0
-                )
-            },
-            limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
-        )
-
-    private fun heard(news: PeerNews) {
-        news.silentPaths.forEach { home ->
-            streams.reportedSilent(home, clockMs())
-            paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
-        }
-        news.layers.forEach {
-            val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
-            servers.learnLayers(it.instanceId, it.bornAtMs, layers, clockMs() - it.ageMs)
-        }
-        if (news.dutyToken != null && lease.fencingToken == null) {
-            duty.forget()
-            servers.limitLayers(
-                news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
-            )
-        }
-        news.failed.filter { !faults.isFailed(it) }.forEach { address ->
-            servers.at(address)?.let { reported(it, news) }
-        }
-    }
-
-    private fun reported(server: BackendServer, news: PeerNews) {
-        val cause = "reported by ${news.instance}"
-        if (server.address in news.leaving) {
-            faults.checkHealth(server, cause)
-        } else {
-            faults.check(server, cause)
-        }
-    }
-
     private fun isReady(): Boolean {
         val services = configuration.current?.services?.values ?: return false
         val serves = services.any { servers.ready(it.name).isNotEmpty() }
@@ -288,16 +248,19 @@
                 .flatMap { it.parts }
                 .forEach { faults.check(it.server, "path silent") }
         }
-        paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
-        silentPath = home
-        peers.sendNow()
-        silentPath = null
+        news.reportSilent(home) { peers.sendNow() }
     }
 
-    private fun watch(
-        prefix: String,
-        listener: org.jacinthlink.router.beliefs.PrefixListener
-    ) = PrefixWatch(loop, store, log, prefix, WATCH_WAIT_MS, WATCH_PAUSE_MS, clockMs, listener)
+    private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) = PrefixWatch(
+        loop,
+        store,
+        log,
+        prefix,
+        WATCH_WAIT_MS,
+        pauseMs,
+        clockMs,
+        listener
+    )
 
     private fun newLedger() =
         retryLedger(
@@ -315,11 +278,14 @@
         const val DUTY_TTL_MS = 3_000L
         const val DUTY_TICK_MS = 100L
         const val PEER_TICK_MS = 100L
-        const val LAYER_NEWS_MS = 3_000L
         const val EXPIRE_TICK_MS = 200L
         const val WATCH_WAIT_MS = 10_000L
-        const val WATCH_PAUSE_MS = 150L
-        const val SILENT_PATH_PAUSE_MS = 400L
+
+        /** Changes of the configuration are in force within 2 s. */
+        const val OPERATOR_PAUSE_MS = 200L
+
+        /** Many servers register in a few seconds; each pause saves a call to the store. */
+        const val SERVERS_PAUSE_MS = 400L
 
         /** Two questions for readiness a second apart take an instance out of use. */
         const val UNTIL_UNROUTED_MS = 2_600L
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -0,0 +1,125 @@
+package org.jacinthlink.router
+
+import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.retry.RetryLedger
+import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.layout.DutyLease
+import org.jacinthlink.router.layout.LayoutDuty
+import org.jacinthlink.router.peers.LayerLimit
+import org.jacinthlink.router.peers.LayerNews
+import org.jacinthlink.router.peers.PeerNews
+import org.jacinthlink.router.relay.FaultWatch
+import org.jacinthlink.router.relay.PathBook
+import org.jacinthlink.router.relay.StreamBook
+
+/** Who a router is for its peers. */
+internal class RouterIdentity(val instance: String, val host: String, val startedAtMs: Long)
+
+/** What a router believes and shares with its peers. */
+internal class RouterBeliefs(
+    val configuration: ConfigurationBelief,
+    val servers: ServerDirectory,
+    val faults: FaultWatch,
+    val paths: PathBook,
+    val streams: StreamBook
+)
+
+/** Composes the news of a router from its beliefs, and takes the news of others into them. */
+internal class RouterNews(
+    private val identity: RouterIdentity,
+    private val beliefs: RouterBeliefs,
+    private val ledger: RetryLedger,
+    private val lease: DutyLease,
+    private val duty: LayoutDuty,
+    private val isDraining: () -> Boolean,
+    private val storeAgeMs: () -> Long?,
+    private val clockMs: () -> Long
+) {
+    private var silentPath: String? = null
+
+    /** Prefers other paths than that of [home] and tells the peers at once through [send]. */
+    fun reportSilent(home: String, send: () -> Unit) {
+        beliefs.paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
+        silentPath = home
+        send()
+        silentPath = null
+    }
+
+    /** The news of this router. */
+    fun compose(): PeerNews {
+        val nowMs = clockMs()
+        val sends = ledger.counts(nowMs)
+        val faults = beliefs.faults
+        return PeerNews(
+            instance = identity.instance,
+            host = identity.host,
+            startedAtMs = identity.startedAtMs,
+            isDraining = isDraining(),
+            dutyToken = lease.fencingToken,
+            configurationVersion = beliefs.configuration.current?.version,
+            storeAgeMs = storeAgeMs(),
+            failed = faults.failed.toList(),
+            leaving = faults.failed.filter { faults.isLeaving(it) },
+            usedTokens = beliefs.paths.ownTokens,
+            firstSends = sends.first,
+            repeats = sends.repeats,
+            silentPaths = listOfNotNull(silentPath),
+            layers = layerNews(nowMs),
+            limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
+        )
+    }
+
+    /** Takes [news] of a peer. */
+    fun apply(news: PeerNews) {
+        val nowMs = clockMs()
+        news.silentPaths.forEach { home ->
+            beliefs.streams.reportedSilent(home, nowMs)
+            beliefs.paths.avoid(home, nowMs + SILENT_PATH_PAUSE_MS)
+        }
+        news.layers.forEach {
+            val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
+            beliefs.servers.learnLayers(it.instanceId, it.bornAtMs, layers, nowMs - it.ageMs)
+        }
+        if (news.dutyToken != null && lease.fencingToken == null) followHolder(news)
+        news.failed.filter { !beliefs.faults.isFailed(it) }.forEach { address ->
+            beliefs.servers.at(address)?.let { checkReported(it, news) }
+        }
+    }
+
+    private fun followHolder(news: PeerNews) {
+        duty.forget()
+        beliefs.servers.limitLayers(
+            news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
+        )
+    }
+
+    private fun checkReported(server: BackendServer, news: PeerNews) {
+        val cause = "reported by ${news.instance}"
+        if (server.address in news.leaving) {
+            beliefs.faults.checkHealth(server, cause)
+        } else {
+            beliefs.faults.check(server, cause)
+        }
+    }
+
+    private fun layerNews(nowMs: Long): List<LayerNews> =
+        beliefs.servers.learntSince(nowMs - LAYER_NEWS_MS).map { (server, atMs) ->
+            LayerNews(
+                server.instanceId,
+                server.bornAtMs,
+                nowMs - atMs,
+                server.layers?.from ?: 0,
+                server.layers?.to ?: 0
+            )
+        }
+
+    private companion object {
+        /** Layers that were learnt within this time are told to the peers. */
+        const val LAYER_NEWS_MS = 3_000L
+
+        /** A path that has just fallen silent is tried again after this time at the earliest. */
+        const val SILENT_PATH_PAUSE_MS = 400L
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -25,6 +25,9 @@
     private var hedge: Timer? = null
     private var isDone = false
 
+    /** A server's own failure, which is passed on if no repeat does better. */
+    private var lastFailure: Send? = null
+
     /** Sends the request. */
     fun start() {
         job.exchange.onClientClosed { clientClosed() }
@@ -84,7 +87,10 @@
             info.requestId != null && info.requestId != job.id -> failed(send, "other answer")
             info.hasNotRun -> notRun(send)
             !info.isSigned -> failed(send, "unsigned answer")
-            info.status >= SERVER_ERROR && mayRepeat() -> failed(send, "status ${info.status}")
+            info.status >= SERVER_ERROR && mayRepeat() -> {
+                lastFailure = send
+                failed(send, "status ${info.status}")
+            }
             info.status >= SERVER_ERROR && open.isNotEmpty() -> Unit
             else -> deliver(send)
         }
@@ -163,6 +169,8 @@
     }
 
     private fun finish(status: Int, retryAfterMs: Long?, cause: String) {
+        val failure = lastFailure
+        if (status == BAD_GATEWAY && failure != null) return deliver(failure)
         close()
         context.metrics.ended("plain", status, cause)
         context.log.event(
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -137,6 +137,30 @@
             }
         }
 
+        describe("a server's own failure of an idempotent request") {
+            // Guards against a server's answer that is replaced by one of the router.
+            it("is passed on when another server fails as well") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.desks.forEach { it.script = Script.Fail }
+                    val answer = fixture.call("/safe/x", "fail-1", "GET")
+                    answer shouldStartWith "HTTP/1.1 500"
+                    answer shouldContain "Response-Seal: seal-"
+                    fixture.desks.flatMap { it.runs } shouldHaveSize 2
+                }
+            }
+
+            it("is passed on when the other server's answer is lost") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.desks[0].script = Script.Fail
+                    fixture.desks[1].script = Script.LoseAnswer
+                    val answers = (1..4).map { fixture.call("/safe/x", "fail-2-$it", "GET") }
+                    answers.any { it.startsWith("HTTP/1.1 500") } shouldBe true
+                }
+            }
+        }
+
         describe("a caller who leaves") {
             // Guards against engines that work for nobody.
             it("ends the work at the engine") {
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -41,6 +41,9 @@
         /** The request runs, and its answer is lost. */
         data object LoseAnswer : Script
 
+        /** The request runs and fails. */
+        data object Fail : Script
+
         /** The request is turned away unrun. */
         data object Full : Script
     }
@@ -128,6 +131,7 @@
         exchange.onClientClosed { cancelled.incrementAndGet() }
         when {
             script == Script.LoseAnswer -> exchange.abort()
+            script == Script.Fail -> exchange.respond(500, headers(request), ByteArray(0))
             request.headers.valueOf("Hop-Count") != null -> stream(request, exchange)
             else -> exchange.respond(200, headers(request), "ok:$instanceId".toByteArray())
         }
