--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -118,7 +118,12 @@
             val type = HeaderField("Content-Type", "text/plain; version=0.0.4")
             exchange.respond(OK, listOf(type), metrics.text().toByteArray())
         }
-        registerGauges()
+        metrics.gauge("jacinthlink.streams") { streams.size }
+        metrics.gauge("jacinthlink.streams.waiting") { admission.waitingCount }
+        metrics.gauge("jacinthlink.peers") { peers.alive.size }
+        metrics.gauge("jacinthlink.store.age.ms") { storeAgeMs() ?: -1 }
+        metrics.gauge("jacinthlink.store.calls") { store.callCount }
+        metrics.gaugeBeliefs(configuration, servers, faults)
         peers.start()
         loop.execute {
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
@@ -151,17 +156,6 @@
         loop.stop()
     }
 
-    private fun registerGauges() {
-        metrics.gauge("jacinthlink.streams") { streams.size }
-        metrics.gauge("jacinthlink.streams.waiting") { admission.waitingCount }
-        metrics.gauge("jacinthlink.servers") { servers.all.size }
-        metrics.gauge("jacinthlink.servers.failed") { faults.failed.size }
-        metrics.gauge("jacinthlink.peers") { peers.alive.size }
-        metrics.gauge("jacinthlink.store.age.ms") { storeAgeMs() ?: -1 }
-        metrics.gauge("jacinthlink.store.calls") { store.callCount }
-        metrics.gauge("jacinthlink.configuration.version") { configuration.current?.version ?: -1 }
-    }
-
     /** Sends a request to this router, so that the classes that carry requests are loaded. */
     fun askItself() {
         listOf(clients, readiness).forEach { listener ->
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -5,6 +5,9 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.time.Duration
 import java.util.concurrent.TimeUnit
+import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.relay.FaultWatch
 
 /** Counters, histograms and gauges of a router, as Prometheus text. */
 internal class RouterMetrics {
@@ -49,6 +52,17 @@
         registry.gauge(name, value) { it().toDouble() }
     }
 
+    /** Shows the sizes and the version of what a router believes. */
+    fun gaugeBeliefs(
+        configuration: ConfigurationBelief,
+        servers: ServerDirectory,
+        faults: FaultWatch
+    ) {
+        gauge("jacinthlink.servers") { servers.all.size }
+        gauge("jacinthlink.servers.failed") { faults.failed.size }
+        gauge("jacinthlink.configuration.version") { configuration.current?.version ?: -1 }
+    }
+
     /** All metrics as text. */
     fun text(): String = registry.scrape()
 
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
@@ -15,9 +15,7 @@
  * @property metricsPort TCP port of the metrics.
  * @property seeds `IP:PORT` of instances that may be up; only their IP is used.
  * @property store `IP:PORT` of the platform's store.
- * @property drainMs Time within which a leaving backend server gets no more work.
  * @property shutdownGraceS Time between SIGTERM and SIGKILL.
- * @property stallMs Time after which an engine gives up on a dead part of a path.
  */
 @Serializable
 data class RouterSettings(
@@ -30,13 +28,8 @@
     val metricsPort: Int,
     val seeds: List<String> = emptyList(),
     val store: String,
-    val historyS: Double = 20.0,
-    val leaseTtlMinMs: Long = 1_000,
-    val drainMs: Long = 2_000,
     val shutdownGraceS: Double = 8.0,
-    val retryBudget: RetryBudgetSettings = RetryBudgetSettings(),
-    val eventLatencyMs: Long = 120,
-    val stallMs: Long = 2_500
+    val retryBudget: RetryBudgetSettings = RetryBudgetSettings()
 )
 
 /**
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
@@ -35,6 +35,13 @@
 ) {
     val id: String? get() = info.requestId
 
+    /** Tokens that the request will have in memory at its end, as far as known. */
+    val expectedTokens: Long
+        get() {
+            val usual = service.engine?.usualAnswerTokens ?: 0
+            return info.promptTokens + (info.expectedAnswerTokens ?: usual).toLong()
+        }
+
     /** The message for one send. */
     fun message(
         server: BackendServer,
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAnswer.kt
@@ -0,0 +1,73 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.transport.HeaderField
+import org.jacinthlink.transport.ServerExchange
+
+/**
+ * The answer of a stream as its caller sees it: one head, then each event once, in order.
+ *
+ * @param lastEventIdAtStart Event that the caller already has, or null.
+ */
+internal class StreamAnswer(private val exchange: ServerExchange, lastEventIdAtStart: Long?) {
+    /** Newest event that the caller has, or null. */
+    var lastEventId: Long? = lastEventIdAtStart
+        private set
+
+    /** True once status and headers have been sent. */
+    var hasHead = false
+        private set
+
+    /** Number of events sent. */
+    var eventCount = 0
+        private set
+
+    /** Longest pause between two events. */
+    var longestGapMs = 0L
+        private set
+
+    /** When the first event was sent, or null. */
+    var firstEventAtMs: Long? = null
+        private set
+
+    /** When the newest event was sent, or null. */
+    var lastEventAtMs: Long? = null
+        private set
+
+    /** Sends those of [events] that the caller does not have yet. Returns true if there are any. */
+    fun forward(
+        events: List<StreamEvent>,
+        status: Int,
+        headers: List<HeaderField>,
+        nowMs: Long
+    ): Boolean {
+        val next = events.filter(::isNext)
+        if (next.isEmpty()) return false
+        lastEventAtMs?.let { longestGapMs = maxOf(longestGapMs, nowMs - it) }
+        lastEventAtMs = nowMs
+        if (firstEventAtMs == null) firstEventAtMs = nowMs
+        start(status, headers)
+        next.forEach { event ->
+            lastEventId = event.id ?: lastEventId
+            eventCount++
+            exchange.write(event.bytes)
+        }
+        return true
+    }
+
+    /** Ends the answer as complete. */
+    fun end(status: Int, headers: List<HeaderField>) {
+        start(status, headers)
+        exchange.endStream()
+    }
+
+    private fun start(status: Int, headers: List<HeaderField>) {
+        if (hasHead) return
+        hasHead = true
+        exchange.startStream(status, headers)
+    }
+
+    private fun isNext(event: StreamEvent): Boolean {
+        val last = lastEventId ?: return true
+        return event.id == null || event.id > last
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -2,13 +2,8 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.paths.ServingPath
-import org.jacinthlink.platform.forward.AnswerInfo
-import org.jacinthlink.platform.forward.answerInfo
 import org.jacinthlink.platform.forward.clientHeaders
 import org.jacinthlink.transport.CallFailure
-import org.jacinthlink.transport.ClientCall
-import org.jacinthlink.transport.ClientListener
-import org.jacinthlink.transport.HeaderField
 import org.jacinthlink.transport.Timer
 
 /** Carries one streamed request over a path of engines, and goes on at another when that fails. */
@@ -18,20 +13,15 @@
     private val job: RelayRequest
 ) {
     /** Memory that the request needs, in tokens. */
-    val tokens: Long = expectedTokens()
+    val tokens: Long = job.expectedTokens
     private val ranOn = mutableSetOf<String>()
-    private var send: Send? = null
+    private var send: StreamSend? = null
     private var runs = 0
     private var sends = 0
-    private var headIsSent = false
-    private var lastEventId: Long? = job.info.lastEventId
-    private var events = 0
+    private val answer = StreamAnswer(job.exchange, job.info.lastEventId)
     private var deadline: Timer? = null
     private var retry: Timer? = null
     private var isDone = false
-    private var firstEventAtMs: Long? = null
-    private var lastEventAtMs: Long? = null
-    private var longestGapMs = 0L
 
     /** Zone of the path in use, or null. */
     val home: String? get() = send?.path?.home
@@ -104,7 +94,7 @@
 
     private fun waitForPath() {
         val nowMs = context.clockMs()
-        val silentMs = nowMs - (lastEventAtMs ?: job.startedAtMs)
+        val silentMs = nowMs - (answer.lastEventAtMs ?: job.startedAtMs)
         val limitMs = if (sends == 0) job.route.targetLatencyMs / 2 else MAX_SILENCE_MS
         if (silentMs > limitMs) {
             giveUp("no path")
@@ -130,31 +120,37 @@
             "server" to path.first.instanceId,
             "cause" to cause,
             "send" to sends,
-            "after_event" to lastEventId,
+            "after_event" to answer.lastEventId,
             "tokens" to tokens,
             "left_ms" to job.endsAtMs - nowMs,
             "configuration" to job.configurationVersion
         )
-        val next = Send(path, nowMs)
+        val next = StreamSend(path, nowMs, SendEvents())
         send = next
         context.paths.use(path, tokens)
-        val message = job.message(path.first, path, lastEventId, nowMs, !job.route.isIdempotent)
+        val message = job.message(
+            path.first,
+            path,
+            answer.lastEventId,
+            nowMs,
+            !job.route.isIdempotent
+        )
         next.call = context.http.send(message, next)
     }
 
-    private fun headCame(current: Send) {
+    private fun headCame(current: StreamSend) {
         val info = current.info
         when {
             info.requestId != null && info.requestId != job.id -> leavePath("other answer")
             info.status == OK && !info.isSigned -> leavePath("unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
-            headIsSent || mayRepeat() -> leavePath("status ${info.status}")
+            answer.hasHead || mayRepeat() -> leavePath("status ${info.status}")
             else -> Unit
         }
     }
 
-    private fun notRun(current: Send) {
+    private fun notRun(current: StreamSend) {
         runs--
         current.call?.cancel()
         ended(current)
@@ -184,49 +180,30 @@
         }
     }
 
-    private fun bodyCame(current: Send, part: ByteArray) {
-        if (current.info.status != OK) return
-        val whole = current.splitter.feed(part).filter { isNext(it) }
-        if (whole.isEmpty()) return
-        current.lastSignAtMs = context.clockMs()
-        lastEventAtMs?.let { longestGapMs = maxOf(longestGapMs, current.lastSignAtMs - it) }
-        lastEventAtMs = current.lastSignAtMs
+    private fun bodyCame(current: StreamSend, part: ByteArray) {
+        val nowMs = context.clockMs()
+        val isFirst = answer.firstEventAtMs == null
+        val events = current.splitter.feed(part)
+        val headers = clientHeaders(current.headers)
+        if (!answer.forward(events, current.info.status, headers, nowMs)) return
+        if (isFirst) context.metrics.firstEvent(nowMs - job.startedAtMs)
+        current.lastSignAtMs = nowMs
         current.hasEvents = true
-        startAnswer(current)
-        whole.forEach { event ->
-            lastEventId = event.id ?: lastEventId
-            events++
-            job.exchange.write(event.bytes)
-        }
-    }
-
-    private fun isNext(event: StreamEvent): Boolean {
-        val last = lastEventId ?: return true
-        return event.id == null || event.id > last
-    }
-
-    private fun startAnswer(current: Send) {
-        if (headIsSent) return
-        headIsSent = true
-        firstEventAtMs = context.clockMs()
-        context.metrics.firstEvent(context.clockMs() - job.startedAtMs)
-        job.exchange.startStream(current.info.status, clientHeaders(current.headers))
     }
 
-    private fun completed(current: Send) {
+    private fun completed(current: StreamSend) {
         ended(current)
         when {
             current.info.status != OK -> passOn(current)
             current.splitter.hasPartialEvent -> sendFailed(current, "partial event")
             else -> {
-                startAnswer(current)
-                job.exchange.endStream()
+                answer.end(current.info.status, clientHeaders(current.headers))
                 finished(OK, "complete")
             }
         }
     }
 
-    private fun passOn(current: Send) {
+    private fun passOn(current: StreamSend) {
         job.exchange.respond(
             current.info.status,
             clientHeaders(current.headers),
@@ -235,14 +212,14 @@
         finished(current.info.status, "status of the server")
     }
 
-    private fun sendFailed(current: Send, cause: String) {
+    private fun sendFailed(current: StreamSend, cause: String) {
         if (!current.wasUnsent) ranOn.add(current.path.first.address)
         context.log.event(
             "send_failed",
             "request" to job.id,
             "path" to current.path.home,
             "cause" to cause,
-            "events" to events,
+            "events" to answer.eventCount,
             "silent_ms" to context.clockMs() - current.lastSignAtMs
         )
         if (mayRepeat()) sendNext(cause) else giveUp(cause)
@@ -252,7 +229,7 @@
 
     private fun giveUp(cause: String) {
         when {
-            headIsSent -> {
+            answer.hasHead -> {
                 job.exchange.abort()
                 finished(0, cause)
             }
@@ -269,8 +246,8 @@
 
     private fun expire() {
         if (isDone) return
-        if (headIsSent) job.exchange.abort() else job.refuse(GATEWAY_TIMEOUT)
-        finished(if (headIsSent) 0 else GATEWAY_TIMEOUT, "deadline")
+        if (answer.hasHead) job.exchange.abort() else job.refuse(GATEWAY_TIMEOUT)
+        finished(if (answer.hasHead) 0 else GATEWAY_TIMEOUT, "deadline")
     }
 
     private fun clientClosed() {
@@ -289,70 +266,52 @@
         context.admission.leave(this, job.service)
         val nowMs = context.clockMs()
         context.metrics.ended("stream", status, cause)
-        context.metrics.longestGap(longestGapMs)
+        context.metrics.longestGap(answer.longestGapMs)
         context.log.event(
             "ended",
             "request" to job.id,
             "route" to job.route.name,
             "status" to status,
             "cause" to cause,
-            "events" to events,
+            "events" to answer.eventCount,
             "sends" to sends,
-            "first_ms" to firstEventAtMs?.let { it - job.startedAtMs },
-            "gap_ms" to longestGapMs,
+            "first_ms" to answer.firstEventAtMs?.let { it - job.startedAtMs },
+            "gap_ms" to answer.longestGapMs,
             "ms" to nowMs - job.startedAtMs
         )
     }
 
-    private fun ended(current: Send) {
+    private fun ended(current: StreamSend) {
         if (send !== current) return
         send = null
         context.paths.release(current.path, tokens)
         context.admission.onFreed(job.service, tokens)
     }
 
-    private fun expectedTokens(): Long {
-        val usual = job.service.engine?.usualAnswerTokens ?: 0
-        val answer = job.info.expectedAnswerTokens ?: usual
-        return job.info.promptTokens + answer.toLong()
-    }
-
-    private inner class Send(val path: ServingPath, val startedAtMs: Long) : ClientListener {
-        var call: ClientCall? = null
-        var headers = emptyList<HeaderField>()
-        lateinit var info: AnswerInfo
-        val splitter = EventSplitter()
-        val errorBody = java.io.ByteArrayOutputStream()
-        var lastSignAtMs = startedAtMs
-        var hasEvents = false
-        var wasUnsent = false
-
-        override fun onHead(status: Int, headers: List<HeaderField>) {
-            info = answerInfo(status, headers)
-            this.headers = headers
-            headCame(this)
-        }
+    /** What the present send reports; a former one is not heard any more. */
+    private inner class SendEvents : StreamSendListener {
+        override fun onHead(send: StreamSend) = headCame(send)
 
-        override fun onBody(part: ByteArray) {
-            if (info.status == OK) bodyCame(this, part) else errorBody.write(part)
-        }
+        override fun onPart(send: StreamSend, part: ByteArray) = bodyCame(send, part)
 
-        override fun onComplete() {
-            if (send === this) completed(this)
+        override fun onComplete(send: StreamSend) {
+            if (this@StreamRelay.send === send) completed(send)
         }
 
-        override fun onFailure(failure: CallFailure) {
-            if (send !== this) return
-            ended(this)
-            if (failure == CallFailure.NOT_CONNECTED) {
-                runs--
-                wasUnsent = true
-                context.faults.check(path.first, "not connected")
-            }
-            if (failure == CallFailure.CONNECTION_LOST) {
-                context.faults.check(path.first, "connection lost")
+        override fun onFailure(send: StreamSend, failure: CallFailure) {
+            if (this@StreamRelay.send !== send) return
+            ended(send)
+            when (failure) {
+                CallFailure.NOT_CONNECTED -> {
+                    runs--
+                    send.wasUnsent = true
+                    context.faults.check(send.path.first, "not connected")
+                }
+                CallFailure.CONNECTION_LOST ->
+                    context.faults.check(send.path.first, "connection lost")
+                CallFailure.KEPT_CONNECTION_CLOSED, CallFailure.MALFORMED_ANSWER -> Unit
             }
-            sendFailed(this, failure.name.lowercase())
+            sendFailed(send, failure.name.lowercase())
         }
     }
 
