Receive news of any size whole

Cause: Netty cuts received datagrams at 2,048 bytes. Change: 32 KB are received. DatagramSocketSpec failed at 2,048.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
@@ -4,9 +4,12 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import java.net.InetSocketAddress
 
 /** A UDP socket. A datagram that cannot be sent is lost. */
 class DatagramSocket internal constructor(private val channel: Channel) {
@@ -16,6 +19,9 @@
         channel.writeAndFlush(packet)
     }
 
+    /** Address that the socket is bound to. */
+    val port: Int get() = (channel.localAddress() as InetSocketAddress).port
+
     /** Closes the socket. */
     fun stop() {
         channel.close()
@@ -44,9 +50,13 @@
         Bootstrap()
             .group(loop.group)
             .channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_BYTES))
             .handler(receiver)
             .bind(address.toSocketAddress())
             .sync()
             .channel()
     return DatagramSocket(channel)
 }
+
+/** Longer datagrams would arrive cut; Netty's default is 2,048. */
+private const val MAX_BYTES = 32_768
