Filter the caller's headers once a send, remove code that nothing calls

On reading the change again: a streamed answer filtered the server's headers for each part, although only the first part needs them; six members had no caller; two pairs of functions did one thing. Behaviour is unchanged.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -22,9 +22,6 @@
     val capacityTokens: Long
 ) {
     val first: BackendServer get() = parts.first().server
-
-    /** True if [address] serves a part. */
-    fun uses(address: String): Boolean = parts.any { it.server.address == address }
 }
 
 /** Most parts that a path may have. */
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -242,7 +242,7 @@
                 .flatMap { it.parts }
                 .forEach { faults.check(it.server, "path silent") }
         }
-        news.reportSilent(home) { peers.sendNow() }
+        news.reportSilent(home) { peers.send() }
     }
 
     private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) = PrefixWatch(
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -72,12 +72,8 @@
         }
     }
 
-    /** Sends the news now, because something has happened. */
-    fun sendNow() {
-        send()
-    }
-
-    private fun send() {
+    /** Sends the news to all peers; also called between the periods when something happens. */
+    fun send() {
         table.forget(clockMs()).forEach { log.event("peer_forgotten", "peer" to it.instance) }
         val hosts = table.hosts
         if (hosts.isEmpty()) return
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -34,11 +34,6 @@
     /** True if the server at [address] turns requests away, though it lives. */
     fun isLeaving(address: String): Boolean = faults[address]?.isLeaving == true
 
-    /** Takes the server at [address] as failed, and asks it until it answers. */
-    fun fail(address: String, cause: String) {
-        mark(address, isLeaving = false, cause)
-    }
-
     /** Asks [server] for its state; without an answer it is taken as failed. */
     fun check(server: BackendServer, cause: String) {
         if (!asking.add(server.address)) return
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -126,10 +126,6 @@
 
     private fun notConnected(send: Send) {
         runs--
-        failedUnsent(send)
-    }
-
-    private fun failedUnsent(send: Send) {
         context.log.event(
             "send_failed",
             "request" to job.id,
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -2,7 +2,6 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.paths.ServingPath
-import org.jacinthlink.platform.forward.clientHeaders
 import org.jacinthlink.transport.CallFailure
 import org.jacinthlink.transport.Timer
 
@@ -184,8 +183,7 @@
         val nowMs = context.clockMs()
         val isFirst = answer.firstEventAtMs == null
         val events = current.splitter.feed(part)
-        val headers = clientHeaders(current.headers)
-        if (!answer.forward(events, current.info.status, headers, nowMs)) return
+        if (!answer.forward(events, current.info.status, current.callerHeaders, nowMs)) return
         if (isFirst) context.metrics.firstEvent(nowMs - job.startedAtMs)
         current.lastSignAtMs = nowMs
         current.hasEvents = true
@@ -197,7 +195,7 @@
             current.info.status != OK -> passOn(current)
             current.splitter.hasPartialEvent -> sendFailed(current, "partial event")
             else -> {
-                answer.end(current.info.status, clientHeaders(current.headers))
+                answer.end(current.info.status, current.callerHeaders)
                 finished(OK, "complete")
             }
         }
@@ -206,7 +204,7 @@
     private fun passOn(current: StreamSend) {
         job.exchange.respond(
             current.info.status,
-            clientHeaders(current.headers),
+            current.callerHeaders,
             current.errorBody.toByteArray()
         )
         finished(current.info.status, "status of the server")
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.platform.forward.AnswerInfo
 import org.jacinthlink.platform.forward.answerInfo
+import org.jacinthlink.platform.forward.clientHeaders
 import org.jacinthlink.transport.CallFailure
 import org.jacinthlink.transport.ClientCall
 import org.jacinthlink.transport.ClientListener
@@ -37,8 +38,8 @@
     lateinit var info: AnswerInfo
         private set
 
-    /** Headers of the answer. */
-    var headers = emptyList<HeaderField>()
+    /** Headers of the answer that go to the caller. */
+    var callerHeaders = emptyList<HeaderField>()
         private set
 
     /** Cuts the answer into events. */
@@ -58,7 +59,7 @@
 
     override fun onHead(status: Int, headers: List<HeaderField>) {
         info = answerInfo(status, headers)
-        this.headers = headers
+        callerHeaders = clientHeaders(headers)
         listener.onHead(this)
     }
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -12,9 +12,6 @@
 class EventLoop internal constructor(internal val group: NioEventLoopGroup) {
     private val loop = group.next()
 
-    /** True on the thread of the loop. */
-    val isCurrent: Boolean get() = loop.inEventLoop()
-
     /** Runs [action] on the loop as soon as possible. */
     fun execute(action: () -> Unit) {
         loop.execute(action)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -19,11 +19,6 @@
         return call
     }
 
-    /** Closes the kept connections to [address]. */
-    fun forget(address: Address) {
-        kept.remove(address)?.forEach { it.close() }
-    }
-
     internal fun keep(connection: ClientConnection) {
         val idle = kept.getOrPut(connection.address) { ArrayDeque() }
         if (idle.size < MAX_KEPT) idle.addLast(connection) else connection.close()
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -20,9 +20,6 @@
     /** Port that the server listens on. */
     val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
-    /** Number of open connections. */
-    val connectionCount: Int get() = connections.size
-
     /** Number of requests that have not been answered. */
     val activeCount: Int get() = connections.count { it.isBusy }
 
@@ -31,11 +28,6 @@
         connections.forEach { it.drain() }
     }
 
-    /** Closes connections that have no request. */
-    fun closeIdle() {
-        connections.toList().filter { !it.isBusy }.forEach { it.close() }
-    }
-
     /** Stops listening and closes all connections. */
     fun stop() {
         sweep.cancel()
