Give a path that lets first events wait no more requests

Change: a path whose oldest send waits for its first event for over 200 ms gets no first sends; a request that has waited 300 ms moves once, if the retry budget has spare. Ruled out: repairs of the layout; the layout was whole from 19.4 s on.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
@@ -63,6 +63,12 @@
         return true
     }
 
+    /** True if a repeat that could be done without leaves enough for those that are needed. */
+    fun hasSpare(nowMs: Long): Boolean {
+        val share = if (otherCount == 0) left(nowMs) + repeatsSinceNews else shareUntilNews
+        return repeatsSinceNews + 1 <= share / 2
+    }
+
     private fun left(nowMs: Long): Double {
         val own = counts(nowMs)
         val allowed = ratio * (own.first + others.first) * SAFETY + extra * SAFETY
--- a/decision/src/test/kotlin/org/jacinthlink/decision/retry/RetryLedgerSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/RetryLedgerSpec.kt
@@ -33,5 +33,14 @@
                 ledger.tryRepeat(9_999) shouldBe false
                 ledger.tryRepeat(10_000) shouldBe true
             }
+
+            // Guards against moves by choice that leave no repeats for streams whose server dies.
+            it("leaves half of it to repeats that are needed") {
+                val ledger = retryLedger(10_000, 0.0, 20.0)
+                val moved = generateSequence { ledger.hasSpare(0) && ledger.tryRepeat(0) }
+                    .takeWhile { it }.count()
+                moved shouldBe 7
+                ledger.tryRepeat(0) shouldBe true
+            }
         }
     })
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -130,9 +130,7 @@
             operatorWatch.start()
             serverWatch.start()
             loop.repeat(StreamBook.TICK_MS) {
-                streams.tick(clockMs())
-                streams.moveFromLeaving(clockMs(), ::isLeaving, paths::hasOther)
-                admission.tick()
+                streamTick(clockMs())
             }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
             loop.repeat(PEER_TICK_MS) { peerTick() }
@@ -188,6 +186,16 @@
         return count.get()
     }
 
+    private fun streamTick(nowMs: Long) {
+        streams.tick(nowMs)
+        val hasOther = { home: String, tokens: Long ->
+            ledger.hasSpare(nowMs) && paths.hasOther(home, tokens, nowMs)
+        }
+        streams.moveFromLeaving(nowMs, ::isLeaving, hasOther)
+        streams.moveWaiting(nowMs, hasOther)
+        admission.tick()
+    }
+
     private fun peerTick() {
         val alive = peers.alive
         val holderIsKnown = lease.fencingToken != null || alive.any { it.dutyToken != null }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -1,17 +1,23 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.fleet.ServiceDefinition
+import org.jacinthlink.decision.paths.FirstEventBacklog
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.paths.firstEventBacklog
 import org.jacinthlink.decision.paths.planPaths
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ServerDirectory
 
+/** The part of a path that one send takes. */
+internal class PathUse(val path: ServingPath, val tokens: Long)
+
 /** Paths of each model service, and how much of each this process uses. */
 internal class PathBook(private val log: DecisionLog, private val servers: ServerDirectory) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
     private val ownTokensByHome = HashMap<String, Long>()
     private val avoidedUntilMs = HashMap<String, Long>()
+    private val backlogs = HashMap<String, FirstEventBacklog<PathUse>>()
     private var peerTokens = emptyMap<String, Long>()
 
     /** Tokens of this process's requests on the path of each zone. */
@@ -36,18 +42,25 @@
         }
     }
 
-    /** The path with the least load for a request of [tokens], or null if there is none. */
+    /**
+     * The path with the least load for a request of [tokens], or null if there is none.
+     *
+     * A request that goes on ([isUrgent]) takes a path with a backlog rather than none.
+     */
     fun choose(
         service: ServiceDefinition,
         failed: Set<String>,
         tokens: Long,
         nowMs: Long,
+        isUrgent: Boolean,
         mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
         val usable = all.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }.ifEmpty { all }
         val straight = usable.filter { it.crossings == 0 }.ifEmpty { usable }
-        return straight.minByOrNull { load(it, tokens) }
+        val prompt = straight.filter { acceptsMore(it.home, nowMs) }
+        val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
+        return candidates.minByOrNull { load(it, tokens) }
     }
 
     /** Tokens for which the roomiest usable path has room. */
@@ -55,6 +68,7 @@
         val all = paths(service, failed)
         val straight = all.filter { it.crossings == 0 }.ifEmpty { all }
         return straight.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
+            .filter { acceptsMore(it.home, nowMs) }
             .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - usedTokens(it.home) } ?: 0
     }
 
@@ -62,21 +76,30 @@
     fun usedTokens(home: String): Long = (ownTokensByHome[home] ?: 0) + (peerTokens[home] ?: 0)
 
     /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
-    fun hasOther(home: String, tokens: Long): Boolean =
+    fun hasOther(home: String, tokens: Long, nowMs: Long): Boolean =
         pathsByService.values.flatten().any { path ->
             path.home != home &&
                 path.crossings == 0 &&
+                (avoidedUntilMs[path.home] ?: 0) <= nowMs &&
+                acceptsMore(path.home, nowMs) &&
                 usedTokens(path.home) + tokens <= path.capacityTokens
         }
 
-    /** Notes that a request uses [tokens] of [path]. */
-    fun use(path: ServingPath, tokens: Long) {
+    /** Notes that a send takes [tokens] of [path]. */
+    fun use(path: ServingPath, tokens: Long, nowMs: Long): PathUse {
         ownTokensByHome.merge(path.home, tokens, Long::plus)
+        return PathUse(path, tokens).also { backlog(path.home).sent(it, nowMs) }
+    }
+
+    /** Notes that the send of [use] has brought its first event. */
+    fun answered(use: PathUse) {
+        backlog(use.path.home).answered(use)
     }
 
-    /** Notes that a request has left [path]. */
-    fun release(path: ServingPath, tokens: Long) {
-        ownTokensByHome.merge(path.home, -tokens, Long::plus)
+    /** Notes that the send of [use] has ended. */
+    fun release(use: PathUse) {
+        ownTokensByHome.merge(use.path.home, -use.tokens, Long::plus)
+        answered(use)
     }
 
     /** Prefers other paths than that of [home] until [untilMs]. */
@@ -84,6 +107,12 @@
         avoidedUntilMs.merge(home, untilMs, ::maxOf)
     }
 
+    private fun acceptsMore(home: String, nowMs: Long): Boolean =
+        backlogs[home]?.acceptsMore(nowMs) ?: true
+
+    private fun backlog(home: String): FirstEventBacklog<PathUse> =
+        backlogs.getOrPut(home) { firstEventBacklog() }
+
     private fun load(path: ServingPath, tokens: Long): Double = (
         usedTokens(
             path.home
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -20,6 +20,7 @@
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
     private var lastMoveMs = 0L
+    private val askedAtMs = HashMap<String, Long>()
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -74,9 +75,26 @@
         next.leavePath("server leaves")
     }
 
+    /**
+     * Moves a stream that its path keeps waiting for the first event to a path that answers.
+     *
+     * Load pattern: a server of a path turns slow while requests are under way to it.
+     */
+    fun moveWaiting(nowMs: Long, hasOther: (home: String, tokens: Long) -> Boolean) {
+        if (nowMs < graceUntilMs) return
+        val next = streams.firstOrNull { stream ->
+            val home = stream.home
+            val sinceMs = stream.pendingSinceMs
+            home != null && sinceMs != null &&
+                nowMs - sinceMs > FIRST_EVENT_LIMIT_MS && hasOther(home, stream.tokens)
+        } ?: return
+        next.leavePath("slow to begin")
+    }
+
     private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
         val flowing = group.filter { it.isFlowing }
-        val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs } ?: return
+        val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs }
+            ?: return askIfStuck(home, group, nowMs)
         val limit = limits.getOrPut(home) { silenceLimit() }
         val isReported = (reportedUntilMs[home] ?: 0) > nowMs
         val limitMs = limit.limitMs(lastEventMs, flowing.size, isReported, nowMs)
@@ -94,12 +112,29 @@
         group.filter { nowMs - it.lastSignAtMs >= limitMs }.forEach { it.leavePath("path silent") }
     }
 
+    /** Asks the servers of a path that has brought no event to anyone for long. */
+    private fun askIfStuck(home: String, group: List<StreamRelay>, nowMs: Long) {
+        val oldestMs = group.mapNotNull { it.pendingSinceMs }.minOrNull() ?: return
+        val lastAskedMs = askedAtMs[home] ?: Long.MIN_VALUE / 2
+        if (nowMs - oldestMs < STUCK_MS || nowMs - lastAskedMs < ASK_PERIOD_MS) return
+        askedAtMs[home] = nowMs
+        log.event("path_stuck", "path" to home, "pending" to group.size, "ms" to nowMs - oldestMs)
+        onSilentPath(home)
+    }
+
     companion object {
         /** Period of [tick]. */
         const val TICK_MS = 20L
         private const val MOVE_PERIOD_MS = 40L
         private const val OWN_PAUSE_MS = 70L
 
+        /** Most first events come within 125 ms, and 500 ms are on time. */
+        private const val FIRST_EVENT_LIMIT_MS = 300L
+
+        /** Without any event for this time a server may be gone. */
+        private const val STUCK_MS = 700L
+        private const val ASK_PERIOD_MS = 1_000L
+
         /** A peer's report holds this long. */
         private const val REPORT_MS = 150L
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -31,6 +31,9 @@
     /** True once the present path has produced an event. */
     val isFlowing: Boolean get() = send?.hasEvents == true
 
+    /** Since when the present path owes the first event, or null if it has brought one. */
+    val pendingSinceMs: Long? get() = send?.takeIf { !it.hasEvents }?.startedAtMs
+
     /** Sends the request. */
     fun start() {
         streams.add(this)
@@ -74,9 +77,9 @@
 
     private fun sendNext(cause: String) {
         val nowMs = context.clockMs()
-        val path = context.paths.choose(job.service, context.faults.failed, tokens, nowMs) {
-            mayUse(it)
-        }
+        val failed = context.faults.failed
+        val path =
+            context.paths.choose(job.service, failed, tokens, nowMs, sends > 0) { mayUse(it) }
         when {
             path == null -> waitForPath()
             sends > 0 && !context.ledger.tryRepeat(nowMs) ->
@@ -124,9 +127,8 @@
             "left_ms" to job.endsAtMs - nowMs,
             "configuration" to job.configurationVersion
         )
-        val next = StreamSend(path, nowMs, SendEvents())
+        val next = StreamSend(context.paths.use(path, tokens, nowMs), nowMs, SendEvents())
         send = next
-        context.paths.use(path, tokens)
         val message = job.message(
             path.first,
             path,
@@ -186,6 +188,7 @@
         if (!answer.forward(events, current.info.status, current.callerHeaders, nowMs)) return
         if (isFirst) context.metrics.firstEvent(nowMs - job.startedAtMs)
         current.lastSignAtMs = nowMs
+        if (!current.hasEvents) context.paths.answered(current.use)
         current.hasEvents = true
     }
 
@@ -282,7 +285,7 @@
     private fun ended(current: StreamSend) {
         if (send !== current) return
         send = null
-        context.paths.release(current.path, tokens)
+        context.paths.release(current.use)
         context.admission.onFreed(job.service, tokens)
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
@@ -25,12 +25,15 @@
     fun onFailure(send: StreamSend, failure: CallFailure)
 }
 
-/** One send of a streamed request over [path]. */
+/** One send of a streamed request, which takes [use] of a path. */
 internal class StreamSend(
-    val path: ServingPath,
+    val use: PathUse,
     val startedAtMs: Long,
     private val listener: StreamSendListener
 ) : ClientListener {
+    /** The path that it passes through. */
+    val path: ServingPath get() = use.path
+
     /** The call that carries it. */
     var call: ClientCall? = null
 
