--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
@@ -1,11 +1,12 @@
 package org.jacinthlink.decision.paths
 
 /**
- * How long a path may give no event to any of its streams before it is taken as broken.
+ * How long a path may give no event to any of its streams before its servers are asked whether
+ * they live.
  *
  * Load pattern: a server in the middle of a path dies or goes dark under steady load, or the path
  * slows down in a burst. The limit follows the longest pauses of the last seconds, so that a slow
- * path is not left and a fast one is left soon.
+ * path is seldom asked and a fast one soon.
  */
 class SilenceLimit internal constructor() {
     private var lastEventMs: Long? = null
@@ -16,16 +17,11 @@
      * The limit for a path whose newest event came at [eventMs].
      *
      * @param flowing Streams of this process that have had an event on the path.
-     * @param isReported A peer takes the path as silent.
      */
-    fun limitMs(eventMs: Long, flowing: Int, isReported: Boolean, nowMs: Long): Long {
+    fun limitMs(eventMs: Long, flowing: Int, nowMs: Long): Long {
         note(eventMs, nowMs)
         val limit = (pauseMs * FACTOR).toLong()
-        return when {
-            isReported -> REPORTED_MS
-            flowing >= SEVERAL -> limit.coerceIn(MIN_MS, MAX_MS)
-            else -> LONELY_MS
-        }
+        return if (flowing >= SEVERAL) limit.coerceIn(MIN_MS, MAX_MS) else LONELY_MS
     }
 
     private fun note(eventMs: Long, nowMs: Long) {
@@ -44,7 +40,7 @@
     private companion object {
         const val INITIAL_PAUSE_MS = 90.0
         const val MAX_PAUSE_MS = 200.0
-        const val FACTOR = 2.0
+        const val FACTOR = 1.4
         const val DECAY = 0.9
         const val DECAY_PERIOD_MS = 250L
 
@@ -52,14 +48,11 @@
         const val SEVERAL = 3
 
         /** Events come every 20 to 60 ms. */
-        const val MIN_MS = 95L
+        const val MIN_MS = 65L
         const val MAX_MS = 260L
 
-        /** A peer has seen the silence already. */
-        const val REPORTED_MS = 80L
-
         /** A single stream pauses while its engines read other prompts. */
-        const val LONELY_MS = 350L
+        const val LONELY_MS = 120L
     }
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -49,7 +49,9 @@
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
     private val faults =
-        FaultWatch(loop, engines, servers, ::healthPath, log, clockMs) { paths.invalidate() }
+        FaultWatch(
+            loop, engines, servers, ::healthPath, log, clockMs, { paths.invalidate() }, ::fellSilent
+        )
     private val streams = StreamBook(log, ::checkPath)
     private val lease =
         DutyLease(loop, store, log, DUTY_KEY, settings.instance, DUTY_TTL_MS)
@@ -250,7 +252,12 @@
                 .flatMap { it.parts }
                 .forEach { faults.check(it.server, "path silent") }
         }
-        news.reportSilent(home) { peers.send() }
+    }
+
+    /** The peers hear of it at once: their streams stand still as well. */
+    private fun fellSilent(address: String) {
+        peers.send()
+        streams.leaveSilent(address, clockMs())
     }
 
     private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) = PrefixWatch(
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -37,16 +37,6 @@
     private val storeAgeMs: () -> Long?,
     private val clockMs: () -> Long
 ) {
-    private var silentPath: String? = null
-
-    /** Prefers other paths than that of [home] and tells the peers at once through [send]. */
-    fun reportSilent(home: String, send: () -> Unit) {
-        beliefs.paths.avoid(home, clockMs() + SILENT_PATH_PAUSE_MS)
-        silentPath = home
-        send()
-        silentPath = null
-    }
-
     /** The news of this router. */
     fun compose(): PeerNews {
         val nowMs = clockMs()
@@ -65,7 +55,6 @@
             usedTokens = beliefs.paths.ownTokens,
             firstSends = sends.first,
             repeats = sends.repeats,
-            silentPaths = listOfNotNull(silentPath),
             layers = layerNews(nowMs),
             limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
         )
@@ -74,10 +63,6 @@
     /** Takes [news] of a peer. */
     fun apply(news: PeerNews) {
         val nowMs = clockMs()
-        news.silentPaths.forEach { home ->
-            beliefs.streams.reportedSilent(home, nowMs)
-            beliefs.paths.avoid(home, nowMs + SILENT_PATH_PAUSE_MS)
-        }
         news.layers.forEach {
             val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
             beliefs.servers.learnLayers(it.instanceId, it.bornAtMs, layers, nowMs - it.ageMs)
@@ -97,10 +82,11 @@
 
     private fun checkReported(server: BackendServer, news: PeerNews) {
         val cause = "reported by ${news.instance}"
-        if (server.address in news.leaving) {
-            beliefs.faults.checkHealth(server, cause)
-        } else {
-            beliefs.faults.check(server, cause)
+        when {
+            server.address in news.leaving -> beliefs.faults.checkHealth(server, cause)
+            beliefs.streams.isQuiet(server.address, clockMs()) ->
+                beliefs.faults.believeSilent(server, cause)
+            else -> beliefs.faults.check(server, cause)
         }
     }
 
@@ -118,8 +104,5 @@
     private companion object {
         /** Layers that were learnt within this time are told to the peers. */
         const val LAYER_NEWS_MS = 3_000L
-
-        /** A path that has just fallen silent is tried again after this time at the earliest. */
-        const val SILENT_PATH_PAUSE_MS = 400L
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -16,7 +16,6 @@
  * @property usedTokens Tokens of requests on the path of each zone.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
- * @property silentPaths Zones whose path has just fallen silent for the sender.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
  * @property limits Layers that engines are about to give up, from the holder of the duty.
  * @property peers Hosts of some other routers.
@@ -35,7 +34,6 @@
     val usedTokens: Map<String, Long> = emptyMap(),
     val firstSends: Int = 0,
     val repeats: Int = 0,
-    val silentPaths: List<String> = emptyList(),
     val layers: List<LayerNews> = emptyList(),
     val limits: List<LayerLimit> = emptyList(),
     val peers: List<String> = emptyList()
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.platform.fleet.EngineClient
+import org.jacinthlink.platform.fleet.EngineReport
 import org.jacinthlink.platform.fleet.ServerHealth
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ServerDirectory
@@ -20,8 +21,10 @@
     private val healthPath: (service: String) -> String?,
     private val log: DecisionLog,
     private val clockMs: () -> Long,
-    private val onChanged: () -> Unit
+    private val onChanged: () -> Unit,
+    private val onSilent: (address: String) -> Unit
 ) {
+    private val probe = EngineProbe(loop, engines)
     private val faults = HashMap<String, Fault>()
     private val asking = HashSet<String>()
 
@@ -37,18 +40,23 @@
     /** Asks [server] for its state; without an answer it is taken as failed. */
     fun check(server: BackendServer, cause: String) {
         if (!asking.add(server.address)) return
-        engines.report(server, CHECK_TIMEOUT_MS) { report ->
+        probe.ask(server) { report ->
             asking.remove(server.address)
-            if (report == null) {
-                mark(server.address, isLeaving = false, cause)
-                return@report
-            }
-            if (!report.isChangingLayers) {
-                val saidAtMs = clockMs() - REPORT_LAG_MS
-                servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
-            }
-            if (!isLeaving(server.address)) recovered(server.address)
+            if (report == null) mark(server.address, isLeaving = false, cause) else heard(server, report)
+        }
+    }
+
+    /** Takes the word of a peer that [server] is silent, which own streams bear out. */
+    fun believeSilent(server: BackendServer, cause: String) {
+        if (!isFailed(server.address)) mark(server.address, isLeaving = false, cause)
+    }
+
+    private fun heard(server: BackendServer, report: EngineReport) {
+        if (!report.isChangingLayers) {
+            val saidAtMs = clockMs() - REPORT_LAG_MS
+            servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
         }
+        if (!isLeaving(server.address)) recovered(server.address)
     }
 
     /** Asks [server], which has turned a request away, whether it leaves. */
@@ -72,6 +80,7 @@
             val kind = if (isLeaving) "leaves" else "silent"
             log.event("server_failed", "address" to address, "kind" to kind, "cause" to cause)
             onChanged()
+            if (!isLeaving) onSilent(address)
         }
         askLater(address)
     }
@@ -112,9 +121,6 @@
         /** A report tells the state of some hundred ms ago. */
         const val REPORT_LAG_MS = 300L
 
-        /** An engine answers in a few ms; a lost packet is sent again after about 200 ms. */
-        const val CHECK_TIMEOUT_MS = 120L
-
         /** A health question may wait for a slot. */
         const val HEALTH_TIMEOUT_MS = 250L
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -8,7 +8,8 @@
  * Streams that are under way, and the watch for paths that have fallen silent.
  *
  * All streams of a path stop at once when one of its servers dies, long before their engines give
- * up; a path without any event is left as soon as that cannot be the pace of its engines.
+ * up. The servers of a path without any event are asked as soon as that cannot be the pace of its
+ * engines; streams leave it when one of them is silent, and a slow path is not left.
  */
 internal class StreamBook(
     private val log: DecisionLog,
@@ -16,7 +17,6 @@
 ) {
     private val streams = LinkedHashSet<StreamRelay>()
     private val limits = HashMap<String, SilenceLimit>()
-    private val reportedUntilMs = HashMap<String, Long>()
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
     private var lastMoveMs = 0L
@@ -35,9 +35,17 @@
         streams.remove(stream)
     }
 
-    /** Takes the word of a peer that the path of [home] is silent. */
-    fun reportedSilent(home: String, nowMs: Long) {
-        reportedUntilMs[home] = nowMs + REPORT_MS
+    /** Lets the streams that pass through the silent server at [address] leave their paths. */
+    fun leaveSilent(address: String, nowMs: Long) {
+        streams.filter { it.passesThrough { part -> part == address } }
+            .filter { nowMs - it.lastSignAtMs >= QUIET_MS }
+            .forEach { it.leavePath("server silent") }
+    }
+
+    /** True if streams pass through [address] and none has had an event lately. */
+    fun isQuiet(address: String, nowMs: Long): Boolean {
+        val passing = streams.filter { it.passesThrough { part -> part == address } }
+        return passing.isNotEmpty() && passing.all { nowMs - it.lastSignAtMs >= QUIET_MS }
     }
 
     /** Looks for silent paths; called each [TICK_MS]. */
@@ -96,20 +104,20 @@
         val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs }
             ?: return askIfStuck(home, group, nowMs)
         val limit = limits.getOrPut(home) { silenceLimit() }
-        val isReported = (reportedUntilMs[home] ?: 0) > nowMs
-        val limitMs = limit.limitMs(lastEventMs, flowing.size, isReported, nowMs)
+        val limitMs = limit.limitMs(lastEventMs, flowing.size, nowMs)
         if (nowMs - lastEventMs < limitMs) return
+        val lastAskedMs = askedAtMs[home] ?: Long.MIN_VALUE / 2
+        if (nowMs - lastAskedMs < SILENT_ASK_PERIOD_MS) return
+        askedAtMs[home] = nowMs
         log.event(
             "path_silent",
             "path" to home,
             "streams" to group.size,
             "flowing" to flowing.size,
             "silent_ms" to nowMs - lastEventMs,
-            "limit_ms" to limitMs,
-            "reported" to isReported
+            "limit_ms" to limitMs
         )
-        if (!isReported) onSilentPath(home)
-        group.filter { nowMs - it.lastSignAtMs >= limitMs }.forEach { it.leavePath("path silent") }
+        onSilentPath(home)
     }
 
     /** Asks the servers of a path that has brought no event to anyone for long. */
@@ -128,14 +136,17 @@
         private const val MOVE_PERIOD_MS = 40L
         private const val OWN_PAUSE_MS = 70L
 
+        /** A stream with a later event than this is not held up. */
+        private const val QUIET_MS = 40L
+
+        /** A slow path is asked again after this time; servers bill each question. */
+        private const val SILENT_ASK_PERIOD_MS = 400L
+
         /** Most first events come within 125 ms, and 500 ms are on time. */
         private const val FIRST_EVENT_LIMIT_MS = 300L
 
         /** Without any event for this time a server may be gone. */
         private const val STUCK_MS = 700L
         private const val ASK_PERIOD_MS = 1_000L
-
-        /** A peer's report holds this long. */
-        private const val REPORT_MS = 150L
     }
 }
