Avoid slow engines, shorten the duty lease, turn late requests of a stopping router away

Change: lease of 1 s; reports tell slow engines, which paths avoid; usual rates of full paths until more is measured, refused callers return one by one; 503 from 2.6 s after SIGTERM on; streams that go on are first in the engines' queues.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
@@ -38,16 +38,30 @@
     private var freedTokensPerMs = 0.0
     private var freedSinceMs: Long? = null
     private var freedTokens = 0L
+    private var returnAtMs = 0L
 
     /** Number of requests that wait. */
     val size: Int get() = waiting.size
 
-    /** Lets [request] wait unless those before it need too long. */
-    fun offer(request: WaitingRequest<T>, nowMs: Long): WaitDecision {
+    /**
+     * Lets [request] wait unless those before it need too long.
+     *
+     * Refused callers come back one after the other, at the rate at which room becomes free.
+     *
+     * @param usualTokensPerMs Rate at which full paths free room; holds until more is measured.
+     */
+    fun offer(
+        request: WaitingRequest<T>,
+        nowMs: Long,
+        usualTokensPerMs: Double
+    ): WaitDecision {
         val aheadTokens = waiting.filter { it.priority <= request.priority }.sumOf { it.tokens }
-        val waitMs = (aheadTokens + request.tokens) / rate(nowMs)
+        val tokensPerMs = maxOf(rate(nowMs), usualTokensPerMs)
+        val waitMs = (aheadTokens + request.tokens) / tokensPerMs
         if (waitMs > MAX_WAIT_MS) {
-            return WaitDecision.Refused(waitMs.toLong().coerceIn(MIN_RETRY_MS, MAX_RETRY_MS))
+            val earliestMs = maxOf(returnAtMs, nowMs + waitMs.toLong())
+            returnAtMs = earliestMs + (request.tokens / tokensPerMs).toLong()
+            return WaitDecision.Refused((returnAtMs - nowMs).coerceIn(MIN_RETRY_MS, MAX_RETRY_MS))
         }
         waiting.add(request)
         return WaitDecision.Waits
@@ -108,7 +122,7 @@
         /** Tokens a ms of a router before it has measured any. */
         const val MIN_RATE = 4.0
         const val MIN_RETRY_MS = 300L
-        const val MAX_RETRY_MS = 4_000L
+        const val MAX_RETRY_MS = 6_000L
     }
 }
 
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -31,9 +31,22 @@
  * One path for each zone whose servers, with help from other zones where it has a gap, hold all
  * layers.
  *
- * @param avoided Addresses that are taken as failed.
+ * @param failed Addresses that are not used.
+ * @param slow Addresses that are used only where no other server holds their layers.
  */
 fun planPaths(
+    engine: EngineProfile,
+    servers: List<BackendServer>,
+    failed: Set<String>,
+    slow: Set<String> = emptySet()
+): List<ServingPath> {
+    val paths = pathsWithout(engine, servers, failed)
+    if (paths.none { path -> path.parts.any { it.server.address in slow } }) return paths
+    val fast = pathsWithout(engine, servers, failed + slow).associateBy { it.home }
+    return paths.map { fast[it.home] ?: it }
+}
+
+private fun pathsWithout(
     engine: EngineProfile,
     servers: List<BackendServer>,
     avoided: Set<String>
--- a/decision/src/test/kotlin/org/jacinthlink/decision/admission/WaitingRoomSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/admission/WaitingRoomSpec.kt
@@ -24,9 +24,9 @@
             // Guards against urgent requests that wait behind a flood.
             it("lets urgent requests go first") {
                 val room = room(30_000)
-                room.offer(request("archive", 2, 1_000), 1_000)
-                room.offer(request("question", 1, 1_010), 1_010)
-                room.offer(request("quote", 0, 1_020), 1_020)
+                room.offer(request("archive", 2, 1_000), 1_000, usualTokensPerMs = 4.0)
+                room.offer(request("question", 1, 1_010), 1_010, usualTokensPerMs = 4.0)
+                room.offer(request("quote", 0, 1_020), 1_020, usualTokensPerMs = 4.0)
                 room.drain(1_050) shouldContainExactly listOf("quote", "question", "archive")
             }
 
@@ -34,24 +34,46 @@
             it("turns requests away at once that would wait too long, with the time to come back") {
                 val room = room(9_000)
                 val decisions =
-                    (1..30).map { room.offer(request("r$it", 2, 1_000), 1_000) }
+                    (1..30).map {
+                        room.offer(request("r$it", 2, 1_000), 1_000, usualTokensPerMs = 4.0)
+                    }
                 decisions.count { it == WaitDecision.Waits } shouldBe 18
                 decisions.last().shouldBeInstanceOf<WaitDecision.Refused>()
             }
         }
 
+        describe("a start, when callers of an outage come back at once") {
+            // Guards against refusals while all engines are idle, because nothing was freed yet.
+            it("lets as many wait as full paths would serve in time") {
+                val room = waitingRoom<String>()
+                val decisions =
+                    (1..30).map { room.offer(request("r$it", 0, 0), 0, usualTokensPerMs = 12.0) }
+                decisions.count { it == WaitDecision.Waits } shouldBe 24
+            }
+
+            // Guards against callers who are sent away together, come back together and are
+            // refused again.
+            it("spreads the return of those that it refuses") {
+                val room = waitingRoom<String>()
+                val returns =
+                    (1..30).map { room.offer(request("r$it", 0, 0), 0, usualTokensPerMs = 12.0) }
+                        .filterIsInstance<WaitDecision.Refused>().map { it.retryAfterMs }
+                returns.zipWithNext().all { (a, b) -> b - a >= 75 } shouldBe true
+            }
+        }
+
         describe("requests that are late already") {
             // Guards against an overload in which every request is a little late.
             it("wait behind those that can be on time") {
                 val room = room(30_000)
-                room.offer(request("late", 0, 1_000), 1_000)
-                room.offer(request("fresh", 1, 1_450), 1_450)
+                room.offer(request("late", 0, 1_000), 1_000, usualTokensPerMs = 4.0)
+                room.offer(request("fresh", 1, 1_450), 1_450, usualTokensPerMs = 4.0)
                 room.drain(1_500) shouldContainExactly listOf("fresh", "late")
             }
 
             it("are given up before their callers leave") {
                 val room = room(30_000)
-                room.offer(request("old", 0, 1_000), 1_000)
+                room.offer(request("old", 0, 1_000), 1_000, usualTokensPerMs = 4.0)
                 room.overdue(2_801).map { it.item } shouldContainExactly listOf("old")
                 room.size shouldBe 0
             }
@@ -61,8 +83,8 @@
             // Guards against large prompts that smaller ones always pass.
             it("is not passed by smaller ones") {
                 val room = room(30_000)
-                room.offer(request("large", 0, 1_000, tokens = 2_500), 1_000)
-                room.offer(request("small", 0, 1_010, tokens = 100), 1_010)
+                room.offer(request("large", 0, 1_000, tokens = 2_500), 1_000, usualTokensPerMs = 4.0)
+                room.offer(request("small", 0, 1_010, tokens = 100), 1_010, usualTokensPerMs = 4.0)
                 room.next(1_020, 1_000) shouldBe null
                 room.next(1_030, 2_500)?.item shouldBe "large"
             }
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
@@ -45,6 +45,15 @@
                 path.crossings shouldBe 1
             }
 
+            // Guards against paths that all pass through an engine that has turned slow.
+            it("borrow the layers of a slow server, or use it where nobody else has them") {
+                val slow = setOf(zoneA[1].address)
+                planPaths(TEST_ENGINE, zoneA + zoneB, emptySet(), slow).first { it.home == "a" }
+                    .layers() shouldContainExactly listOf("0-30", "30-40", "40-80")
+                planPaths(TEST_ENGINE, zoneA, emptySet(), slow).single()
+                    .layers() shouldContainExactly listOf("0-30", "30-80")
+            }
+
             it("do not exist while a layer is held nowhere") {
                 planPaths(TEST_ENGINE, listOf(zoneA[0]), emptySet()).shouldBeEmpty()
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -28,17 +28,22 @@
     private val shares = ServiceShares()
     private val early = EarlyRequests(context.loop, ::refuseEarly)
 
+    private var isClosed = false
+
     override fun handle(request: ServerRequest, exchange: ServerExchange) {
         val info = requestInfo(request)
-        if (configuration.current ==
-            null
-        ) {
-            early.hold(request, exchange)
-        } else {
-            route(request, info, exchange)
+        when {
+            isClosed -> refuse(info, exchange, UNAVAILABLE, "stopping", null, STOPPING_RETRY_MS)
+            configuration.current == null -> early.hold(request, exchange)
+            else -> route(request, info, exchange)
         }
     }
 
+    /** Turns further requests away; those under way go on. */
+    fun close() {
+        isClosed = true
+    }
+
     /** Handles the requests that came before the first configuration. */
     fun configurationCame() {
         early.release().forEach { route(it.request, requestInfo(it.request), it.exchange) }
@@ -132,6 +137,9 @@
         const val UNAVAILABLE = 503
         const val LEAST_PRIORITY = 9
         const val RETRY_AFTER_MS = 300L
+
+        /** The caller's next connection goes to another instance. */
+        const val STOPPING_RETRY_MS = 20L
     }
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -19,7 +19,9 @@
 import org.jacinthlink.router.peers.PeerExchange
 import org.jacinthlink.router.peers.SnapshotFollower
 import org.jacinthlink.router.peers.snapshotHandler
+import org.jacinthlink.router.relay.EngineProbe
 import org.jacinthlink.router.relay.FaultWatch
+import org.jacinthlink.router.relay.PaceWatch
 import org.jacinthlink.router.relay.PathBook
 import org.jacinthlink.router.relay.RelayContext
 import org.jacinthlink.router.relay.StreamAdmission
@@ -45,12 +47,15 @@
     private val metrics = RouterMetrics()
     private val store = StoreClient(loop, http, settings.store.toAddress())
     private val engines = EngineClient(loop, http)
-    private val paths: PathBook by lazy { PathBook(log, servers) }
+    private val paths: PathBook by lazy { PathBook(log, servers) { paces.slow } }
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
+    private val probe = EngineProbe(loop, engines)
+    private val paces: PaceWatch = PaceWatch(loop, probe, log) { paths.invalidate() }
     private val faults =
         FaultWatch(
-            loop, engines, servers, ::healthPath, log, clockMs, { paths.invalidate() }, ::fellSilent
+            loop, engines, probe, paces, servers, ::healthPath, log, clockMs,
+            { paths.invalidate() }, ::fellSilent
         )
     private val streams = StreamBook(log, ::checkPath)
     private val lease =
@@ -69,7 +74,7 @@
             clockMs
         )
     private val ledger = newLedger()
-    private val admission = StreamAdmission(paths, faults, clockMs)
+    private val admission = StreamAdmission(paths, faults, { peers.alive.size + 1 }, clockMs)
     private val context =
         RelayContext(
             loop, http, log, servers, faults, paths, admission, ledger, metrics, clockMs
@@ -83,7 +88,7 @@
     private val news =
         RouterNews(
             RouterIdentity(settings.instance, settings.host, System.currentTimeMillis()),
-            RouterBeliefs(configuration, servers, faults, paths, streams),
+            RouterBeliefs(configuration, servers, faults, paces, paths, streams),
             ledger,
             lease,
             duty,
@@ -176,6 +181,11 @@
             clients.drain()
         }
         Thread.sleep(UNTIL_UNROUTED_MS)
+        loop.execute {
+            requests.close()
+            clients.closeIdle()
+            log.event("closed", "requests" to clients.activeCount)
+        }
         while (clockMs() < endsAtMs && activeRequests() > 0) Thread.sleep(DRAIN_POLL_MS)
         log.event("stopped", "requests" to activeRequests())
         Thread.sleep(LAST_LINES_MS)
@@ -200,7 +210,7 @@
 
     private fun peerTick() {
         val alive = peers.alive
-        val holderIsKnown = lease.fencingToken != null || alive.any { it.dutyToken != null }
+        val holderIsKnown = lease.fencingToken != null || peers.holderIsHeard
         val others = alive.filter { !it.isDraining }.map { it.instance }
         if (!isDraining && election.shouldTry(clockMs(), holderIsKnown, others)) lease.tryTake()
         follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
@@ -209,6 +219,7 @@
             peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) }
         }
         paths.notePeers(tokens)
+        paces.notePeers(alive.flatMap { it.slow }.toSet())
         val sends = SendCounts(alive.sumOf { it.firstSends }, alive.sumOf { it.repeats })
         ledger.onNews(sends, alive.size, clockMs())
     }
@@ -284,7 +295,9 @@
         const val OK = 200
         const val UNAVAILABLE = 503
         const val DUTY_KEY = "duty/layout"
-        const val DUTY_TTL_MS = 3_000L
+
+        /** The shortest lease that the store grants: nobody places layers after a holder's end. */
+        const val DUTY_TTL_MS = 1_000L
         const val DUTY_TICK_MS = 100L
         const val PEER_TICK_MS = 100L
         const val EXPIRE_TICK_MS = 200L
@@ -296,7 +309,10 @@
         /** Many servers register in a few seconds; each pause saves a call to the store. */
         const val SERVERS_PAUSE_MS = 400L
 
-        /** Two questions for readiness a second apart take an instance out of use. */
+        /**
+         * Two questions for readiness a second apart take an instance out of use. A stream that
+         * came later would not end before the process does.
+         */
         const val UNTIL_UNROUTED_MS = 2_600L
         const val KILL_MARGIN_MS = 300L
         const val DRAIN_POLL_MS = 20L
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.router.peers.LayerNews
 import org.jacinthlink.router.peers.PeerNews
 import org.jacinthlink.router.relay.FaultWatch
+import org.jacinthlink.router.relay.PaceWatch
 import org.jacinthlink.router.relay.PathBook
 import org.jacinthlink.router.relay.StreamBook
 
@@ -22,6 +23,7 @@
     val configuration: ConfigurationBelief,
     val servers: ServerDirectory,
     val faults: FaultWatch,
+    val paces: PaceWatch,
     val paths: PathBook,
     val streams: StreamBook
 )
@@ -52,6 +54,7 @@
             storeAgeMs = storeAgeMs(),
             failed = faults.failed.toList(),
             leaving = faults.failed.filter { faults.isLeaving(it) },
+            slow = beliefs.paces.own.toList(),
             usedTokens = beliefs.paths.ownTokens,
             firstSends = sends.first,
             repeats = sends.repeats,
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/DutyElection.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/DutyElection.kt
@@ -31,8 +31,8 @@
 
     private companion object {
         /** Time to hear of a holder after a start. */
-        const val FIRST_TRY_MS = 600L
-        const val TURN_MS = 400L
-        const val RETRY_MS = 700L
+        const val FIRST_TRY_MS = 300L
+        const val TURN_MS = 200L
+        const val RETRY_MS = 500L
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.fleet.ServerState
+import org.jacinthlink.decision.fleet.ServiceDefinition
 import org.jacinthlink.decision.layout.GroupMove
 import org.jacinthlink.decision.layout.LayoutServer
 import org.jacinthlink.decision.layout.LayoutState
@@ -29,6 +30,7 @@
     private val clockMs: () -> Long
 ) {
     private val plans = HashMap<String, ServicePlan>()
+    private var askedForToken: Long? = null
 
     /** Layers that engines are about to give up. */
     val limits: Map<String, LayerRange> get() = orders.limits
@@ -44,10 +46,19 @@
         val token = lease.fencingToken
         if (token == null) return
         val services = configuration.current?.services?.values.orEmpty()
+        if (token != askedForToken) askAll(services, token)
         services.forEach { service -> service.engine?.let { place(service.name, it, token) } }
         servers.limitLayers(orders.limits)
     }
 
+    /** The former holder's last orders show in the store seconds later. */
+    private fun askAll(services: Collection<ServiceDefinition>, token: Long) {
+        askedForToken = token
+        services.filter { it.engine != null }
+            .flatMap { servers.registered(it.name) }
+            .forEach { faults.check(it, "duty taken") }
+    }
+
     private fun place(service: String, engine: EngineProfile, token: Long) {
         val nowMs = clockMs()
         val ready = servers.ready(service).filter { it.isUsable(engine) }
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -35,6 +35,13 @@
     /** News of the peers that are alive. */
     val alive: List<PeerNews> get() = table.alive(clockMs())
 
+    /** True if a holder of the duty has been heard in the last few periods. */
+    val holderIsHeard: Boolean
+        get() = table.heardWithin(clockMs(), maxOf(HOLDER_SILENCE_MS, periodMs * HOLDER_PERIODS))
+            .any { it.dutyToken != null }
+
+    private val periodMs: Long get() = maxOf(MIN_PERIOD_MS, table.hosts.size * PERIOD_PER_PEER_MS)
+
     /** Opens the port, registers this router and begins to send. */
     fun start() {
         socket = datagramSocket(loop, own, ::received)
@@ -65,7 +72,6 @@
     }
 
     private fun sendLater() {
-        val periodMs = maxOf(MIN_PERIOD_MS, table.hosts.size * PERIOD_PER_PEER_MS)
         loop.schedule(periodMs) {
             send()
             sendLater()
@@ -106,5 +112,9 @@
         /** Keeps the datagrams of a router near 50 a second, however many peers there are. */
         const val PERIOD_PER_PEER_MS = 20L
         const val SHARED_HOSTS = 2
+
+        /** A lost datagram or two are no sign of a holder's end. */
+        const val HOLDER_SILENCE_MS = 700L
+        const val HOLDER_PERIODS = 3
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -13,6 +13,7 @@
  * @property storeAgeMs Since the store last answered the sender, or null if it never did.
  * @property failed Addresses that the sender takes as failed.
  * @property leaving Those of [failed] that live but turn requests away.
+ * @property slow Addresses of engines that the sender has found slow.
  * @property usedTokens Tokens of requests on the path of each zone.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
@@ -31,6 +32,7 @@
     val storeAgeMs: Long? = null,
     val failed: List<String> = emptyList(),
     val leaving: List<String> = emptyList(),
+    val slow: List<String> = emptyList(),
     val usedTokens: Map<String, Long> = emptyMap(),
     val firstSends: Int = 0,
     val repeats: Int = 0,
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerTable.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerTable.kt
@@ -23,8 +23,11 @@
     }
 
     /** News of the peers that are alive at [nowMs]. */
-    fun alive(nowMs: Long): List<PeerNews> =
-        newsByInstance.values.filter { it.isAlive(nowMs) }.map { it.news }
+    fun alive(nowMs: Long): List<PeerNews> = heardWithin(nowMs, ALIVE_MS)
+
+    /** News that are no older than [ageMs]. */
+    fun heardWithin(nowMs: Long, ageMs: Long): List<PeerNews> =
+        newsByInstance.values.filter { nowMs - it.heardAtMs <= ageMs }.map { it.news }
 
     /** Drops peers that have been silent for long, and their hosts. */
     fun forget(nowMs: Long): List<PeerNews> {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -17,6 +17,8 @@
 internal class FaultWatch(
     private val loop: EventLoop,
     private val engines: EngineClient,
+    private val probe: EngineProbe,
+    private val paces: PaceWatch,
     private val servers: ServerDirectory,
     private val healthPath: (service: String) -> String?,
     private val log: DecisionLog,
@@ -24,7 +26,6 @@
     private val onChanged: () -> Unit,
     private val onSilent: (address: String) -> Unit
 ) {
-    private val probe = EngineProbe(loop, engines)
     private val faults = HashMap<String, Fault>()
     private val asking = HashSet<String>()
 
@@ -42,7 +43,11 @@
         if (!asking.add(server.address)) return
         probe.ask(server) { report ->
             asking.remove(server.address)
-            if (report == null) mark(server.address, isLeaving = false, cause) else heard(server, report)
+            if (report == null) {
+                mark(server.address, isLeaving = false, cause)
+            } else {
+                heard(server, report)
+            }
         }
     }
 
@@ -56,6 +61,7 @@
             val saidAtMs = clockMs() - REPORT_LAG_MS
             servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
         }
+        paces.heard(server, report)
         if (!isLeaving(server.address)) recovered(server.address)
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -12,7 +12,11 @@
 internal class PathUse(val path: ServingPath, val tokens: Long)
 
 /** Paths of each model service, and how much of each this process uses. */
-internal class PathBook(private val log: DecisionLog, private val servers: ServerDirectory) {
+internal class PathBook(
+    private val log: DecisionLog,
+    private val servers: ServerDirectory,
+    private val slow: () -> Set<String>
+) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
     private val ownTokensByHome = HashMap<String, Long>()
@@ -37,7 +41,7 @@
     fun paths(service: ServiceDefinition, failed: Set<String>): List<ServingPath> {
         val engine = service.engine ?: return emptyList()
         return pathsByService.getOrPut(service.name) {
-            planPaths(engine, servers.ready(service.name), failed)
+            planPaths(engine, servers.ready(service.name), failed, slow())
                 .also { logIfChanged(service.name, it) }
         }
     }
@@ -45,7 +49,8 @@
     /**
      * The path with the least load for a request of [tokens], or null if there is none.
      *
-     * A request that goes on ([isUrgent]) takes a path with a backlog rather than none.
+     * A path that crosses zones is used when the others are full or let requests wait. A request
+     * that goes on ([isUrgent]) takes a path with a backlog rather than none.
      */
     fun choose(
         service: ServiceDefinition,
@@ -57,21 +62,26 @@
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
         val usable = all.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }.ifEmpty { all }
-        val straight = usable.filter { it.crossings == 0 }.ifEmpty { usable }
-        val prompt = straight.filter { acceptsMore(it.home, nowMs) }
-        val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
-        return candidates.minByOrNull { load(it, tokens) }
+        val prompt = usable.near().filter { acceptsMore(it.home, nowMs) }
+        val candidates = if (isUrgent) prompt.ifEmpty { usable } else prompt
+        val roomy = candidates.filter { load(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
+        return roomy.minWithOrNull(
+            compareBy<ServingPath> { it.crossings > 0 }.thenBy { load(it, tokens) }
+        )
     }
 
     /** Tokens for which the roomiest usable path has room. */
     fun roomTokens(service: ServiceDefinition, failed: Set<String>, nowMs: Long): Long {
-        val all = paths(service, failed)
-        val straight = all.filter { it.crossings == 0 }.ifEmpty { all }
-        return straight.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
+        return paths(service, failed).near()
+            .filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
             .filter { acceptsMore(it.home, nowMs) }
             .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - usedTokens(it.home) } ?: 0
     }
 
+    /** Tokens that all paths of [service] together have room for. */
+    fun capacityTokens(service: ServiceDefinition, failed: Set<String>): Long =
+        paths(service, failed).sumOf { it.capacityTokens }
+
     /** Tokens that all routers use on the path of [home]. */
     fun usedTokens(home: String): Long = (ownTokensByHome[home] ?: 0) + (peerTokens[home] ?: 0)
 
@@ -107,6 +117,10 @@
         avoidedUntilMs.merge(home, untilMs, ::maxOf)
     }
 
+    /** Paths with few crossings if there are any: each takes the whole prompt over a shared link. */
+    private fun List<ServingPath>.near(): List<ServingPath> =
+        filter { it.crossings <= MAX_CROSSINGS }.ifEmpty { this }
+
     private fun acceptsMore(home: String, nowMs: Long): Boolean =
         backlogs[home]?.acceptsMore(nowMs) ?: true
 
@@ -131,5 +145,8 @@
     private companion object {
         /** Part of a path's memory that is given out; the peers' use is known a little late. */
         const val FILL_SHARE = 0.92
+
+        /** A prompt of usual length takes 23 ms of the link between zones for each crossing. */
+        const val MAX_CROSSINGS = 4
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
@@ -55,7 +55,7 @@
                 server,
                 workspace,
                 (endsAtMs - nowMs).coerceAtLeast(1),
-                priority.takeIf { path != null },
+                enginePriority(lastEventId).takeIf { path != null },
                 path,
                 lastEventId
             )
@@ -70,6 +70,10 @@
         )
     }
 
+    /** Streams that go on come first: their callers see the pause. */
+    private fun enginePriority(lastEventId: Long?): Int =
+        if (lastEventId != null) 0 else (priority + 1).coerceAtMost(LEAST_PRIORITY)
+
     /** Answers with a status of this system. */
     fun refuse(status: Int, retryAfterMs: Long? = null) {
         exchange.respond(status, refusalHeaders(id, retryAfterMs), ByteArray(0))
@@ -78,5 +82,6 @@
     private companion object {
         /** A connection inside a region takes a few ms; a lost first packet is sent again. */
         const val CONNECT_TIMEOUT_MS = 300
+        const val LEAST_PRIORITY = 9
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -9,6 +9,7 @@
 internal class StreamAdmission(
     private val paths: PathBook,
     private val faults: FaultWatch,
+    private val routerCount: () -> Int,
     private val clockMs: () -> Long
 ) {
     private val rooms = HashMap<String, ServiceQueue>()
@@ -33,7 +34,7 @@
                 stream.arrivedAtMs,
                 stream.targetMs
             )
-        when (val decision = queue.room.offer(request, nowMs)) {
+        when (val decision = queue.room.offer(request, nowMs, usualTokensPerMs(service))) {
             WaitDecision.Waits -> Unit
             is WaitDecision.Refused -> stream.refused("queue full", decision.retryAfterMs)
         }
@@ -61,6 +62,13 @@
         }
     }
 
+    /** What this router's share of full paths frees; any wait is worth it before paths are known. */
+    private fun usualTokensPerMs(service: ServiceDefinition): Double {
+        val capacityTokens = paths.capacityTokens(service, faults.failed)
+        if (capacityTokens == 0L) return Double.POSITIVE_INFINITY
+        return capacityTokens / USUAL_STREAM_MS / routerCount()
+    }
+
     private fun room(service: ServiceDefinition, nowMs: Long): Long =
         paths.roomTokens(service, faults.failed, nowMs)
 
@@ -70,5 +78,8 @@
 
     private companion object {
         const val RETRY_AFTER_MS = 1_000L
+
+        /** From the send of a stream of usual length to its end. */
+        const val USUAL_STREAM_MS = 4_000.0
     }
 }
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -8,6 +8,7 @@
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
+import kotlin.concurrent.thread
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
@@ -172,6 +173,26 @@
             }
         }
 
+        describe("a router that ends") {
+            // Guards against streams that are taken so late that the end of the process cuts them.
+            it("turns requests away at once when it is out of use, and finishes older ones") {
+                RouterFixture(eventCount = 200).use { fixture ->
+                    fixture.awaitLayers()
+                    val open = fixture.open("/s/x", "older")
+                    await { fixture.engines.sumOf { it.runs.size } == 1 }
+                    val ending = thread { fixture.router.drain() }
+                    Thread.sleep(3_000)
+                    val late = fixture.call("/s/x", "late")
+                    late shouldStartWith "HTTP/1.1 503"
+                    late shouldContain "Retry-After: "
+                    val older = open.getInputStream().readAllBytes().decodeToString()
+                    ids(older) shouldBe (1..200).toList()
+                    older shouldEndWith "0\r\n\r\n"
+                    ending.join()
+                }
+            }
+        }
+
         describe("an outage of the store") {
             it("leaves the last configuration and servers in force") {
                 RouterFixture().use { fixture ->
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -28,6 +28,11 @@
         connections.forEach { it.drain() }
     }
 
+    /** Closes the connections on which no request is under way. */
+    fun closeIdle() {
+        connections.filter { !it.isBusy }.forEach { it.close() }
+    }
+
     /** Stops listening and closes all connections. */
     fun stop() {
         sweep.cancel()
