Count the slots of a path, double the pause after each rejection

Change: the load of a path is the larger share of memory and of slots; rejections and questions to a silent path pause for growing times.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
@@ -67,10 +67,10 @@
         return WaitDecision.Waits
     }
 
-    /** Takes the next request if it needs no more than [roomTokens]. */
-    fun next(nowMs: Long, roomTokens: Long): WaitingRequest<T>? {
+    /** Takes the next request if [hasRoom] for its tokens. */
+    fun next(nowMs: Long, hasRoom: (tokens: Long) -> Boolean): WaitingRequest<T>? {
         val first = waiting.minWithOrNull(order(nowMs)) ?: return null
-        if (first.tokens > roomTokens) return null
+        if (!hasRoom(first.tokens)) return null
         waiting.remove(first)
         return first
     }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -14,12 +14,14 @@
  * @property home Zone that the path belongs to.
  * @property crossings Number of times that it passes from one zone to another.
  * @property capacityTokens Tokens of requests that the tightest part has room for.
+ * @property slots Requests that the first server takes at once.
  */
 data class ServingPath(
     val home: String,
     val parts: List<PathPart>,
     val crossings: Int,
-    val capacityTokens: Long
+    val capacityTokens: Long,
+    val slots: Int
 ) {
     val first: BackendServer get() = parts.first().server
 }
@@ -99,7 +101,7 @@
 ): ServingPath {
     val crossings = parts.zipWithNext().count { (a, b) -> a.server.zone != b.server.zone }
     val capacity = parts.minOf { roomTokens(engine, it) }
-    return ServingPath(zone, parts, crossings, capacity)
+    return ServingPath(zone, parts, crossings, capacity, engine.slots)
 }
 
 private fun roomTokens(engine: EngineProfile, part: PathPart): Long {
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -19,6 +19,7 @@
 import org.jacinthlink.router.peers.PeerExchange
 import org.jacinthlink.router.peers.SnapshotFollower
 import org.jacinthlink.router.peers.snapshotHandler
+import org.jacinthlink.router.peers.sumOfLoads
 import org.jacinthlink.router.relay.EngineProbe
 import org.jacinthlink.router.relay.FaultWatch
 import org.jacinthlink.router.relay.PaceWatch
@@ -214,11 +215,7 @@
         val others = alive.filter { !it.isDraining }.map { it.instance }
         if (!isDraining && election.shouldTry(clockMs(), holderIsKnown, others)) lease.tryTake()
         follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
-        val tokens = HashMap<String, Long>()
-        alive.forEach { peer ->
-            peer.usedTokens.forEach { tokens.merge(it.key, it.value, Long::plus) }
-        }
-        paths.notePeers(tokens)
+        paths.notePeers(sumOfLoads(alive))
         paces.notePeers(alive.flatMap { it.slow }.toSet())
         val sends = SendCounts(alive.sumOf { it.firstSends }, alive.sumOf { it.repeats })
         ledger.onNews(sends, alive.size, clockMs())
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -9,6 +9,7 @@
 import org.jacinthlink.router.layout.LayoutDuty
 import org.jacinthlink.router.peers.LayerLimit
 import org.jacinthlink.router.peers.LayerNews
+import org.jacinthlink.router.peers.PathShare
 import org.jacinthlink.router.peers.PeerNews
 import org.jacinthlink.router.relay.FaultWatch
 import org.jacinthlink.router.relay.PaceWatch
@@ -55,7 +56,7 @@
             failed = faults.failed.toList(),
             leaving = faults.failed.filter { faults.isLeaving(it) },
             slow = beliefs.paces.own.toList(),
-            usedTokens = beliefs.paths.ownTokens,
+            loads = beliefs.paths.ownLoad.map { PathShare(it.key, it.value.tokens, it.value.streams) },
             firstSends = sends.first,
             repeats = sends.repeats,
             layers = layerNews(nowMs),
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.router.peers
 
 import kotlinx.serialization.Serializable
+import org.jacinthlink.decision.paths.NO_LOAD
+import org.jacinthlink.decision.paths.PathLoad
 
 /**
  * What a router tells the others several times a second, in one datagram.
@@ -14,7 +16,7 @@
  * @property failed Addresses that the sender takes as failed.
  * @property leaving Those of [failed] that live but turn requests away.
  * @property slow Addresses of engines that the sender has found slow.
- * @property usedTokens Tokens of requests on the path of each zone.
+ * @property loads What the sender's requests take of the path of each zone.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
@@ -33,7 +35,7 @@
     val failed: List<String> = emptyList(),
     val leaving: List<String> = emptyList(),
     val slow: List<String> = emptyList(),
-    val usedTokens: Map<String, Long> = emptyMap(),
+    val loads: List<PathShare> = emptyList(),
     val firstSends: Int = 0,
     val repeats: Int = 0,
     val layers: List<LayerNews> = emptyList(),
@@ -41,6 +43,16 @@
     val peers: List<String> = emptyList()
 )
 
+/** What requests of one router take of the path of zone [home]. */
+@Serializable
+internal data class PathShare(val home: String, val tokens: Long, val streams: Int)
+
+/** What the requests of [peers] together take of the path of each zone. */
+internal fun sumOfLoads(peers: List<PeerNews>): Map<String, PathLoad> =
+    peers.flatMap { it.loads }
+        .groupingBy { it.home }
+        .fold(NO_LOAD) { sum, share -> sum + PathLoad(share.tokens, share.streams) }
+
 /** Layers of one engine, as it said [ageMs] ago; [from] equals [to] if it holds none. */
 @Serializable
 internal data class LayerNews(
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -2,9 +2,15 @@
 
 import org.jacinthlink.decision.fleet.ServiceDefinition
 import org.jacinthlink.decision.paths.FirstEventBacklog
+import org.jacinthlink.decision.paths.GrowingPause
+import org.jacinthlink.decision.paths.NO_LOAD
+import org.jacinthlink.decision.paths.PathLoad
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.decision.paths.firstEventBacklog
+import org.jacinthlink.decision.paths.growingPause
 import org.jacinthlink.decision.paths.planPaths
+import org.jacinthlink.decision.paths.shareTaken
+import org.jacinthlink.decision.paths.usableTokens
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ServerDirectory
 
@@ -19,17 +25,17 @@
 ) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
-    private val ownTokensByHome = HashMap<String, Long>()
-    private val avoidedUntilMs = HashMap<String, Long>()
+    private val ownLoads = HashMap<String, PathLoad>()
+    private val rejections = HashMap<String, GrowingPause>()
     private val backlogs = HashMap<String, FirstEventBacklog<PathUse>>()
-    private var peerTokens = emptyMap<String, Long>()
+    private var peerLoads = emptyMap<String, PathLoad>()
 
-    /** Tokens of this process's requests on the path of each zone. */
-    val ownTokens: Map<String, Long> get() = ownTokensByHome.toMap()
+    /** What this process's requests take of the path of each zone. */
+    val ownLoad: Map<String, PathLoad> get() = ownLoads.toMap()
 
-    /** Takes the tokens that all peers together use on the path of each zone. */
-    fun notePeers(tokens: Map<String, Long>) {
-        peerTokens = tokens
+    /** Takes what the requests of all peers together take of the path of each zone. */
+    fun notePeers(loads: Map<String, PathLoad>) {
+        peerLoads = loads
     }
 
     /** Plans all paths anew at the next use. */
@@ -61,77 +67,84 @@
         mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
-        val usable = all.filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }.ifEmpty { all }
-        val prompt = usable.near().filter { acceptsMore(it.home, nowMs) }
+        val usable = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }
+        val prompt = usable.near().filter { isPrompt(it, nowMs) }
         val candidates = if (isUrgent) prompt.ifEmpty { usable } else prompt
-        val roomy = candidates.filter { load(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
+        val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
         return roomy.minWithOrNull(
-            compareBy<ServingPath> { it.crossings > 0 }.thenBy { load(it, tokens) }
+            compareBy<ServingPath> { it.crossings > 0 }.thenBy { share(it, tokens) }
         )
     }
 
-    /** Tokens for which the roomiest usable path has room. */
-    fun roomTokens(service: ServiceDefinition, failed: Set<String>, nowMs: Long): Long {
-        return paths(service, failed).near()
-            .filter { (avoidedUntilMs[it.home] ?: 0) <= nowMs }
-            .filter { acceptsMore(it.home, nowMs) }
-            .maxOfOrNull { (it.capacityTokens * FILL_SHARE).toLong() - usedTokens(it.home) } ?: 0
-    }
+    /** True if a path has room for a request of [tokens] and answers soon. */
+    fun hasRoom(
+        service: ServiceDefinition,
+        failed: Set<String>,
+        tokens: Long,
+        nowMs: Long
+    ): Boolean =
+        paths(service, failed).near().any {
+            isAccepting(it, nowMs) && isPrompt(it, nowMs) && share(it, tokens) <= FILL_SHARE
+        }
 
-    /** Tokens that all paths of [service] together have room for. */
-    fun capacityTokens(service: ServiceDefinition, failed: Set<String>): Long =
-        paths(service, failed).sumOf { it.capacityTokens }
+    /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
+    fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
+        paths(service, failed).sumOf { it.usableTokens(usualTokens) }
 
     /** Tokens that all routers use on the path of [home]. */
-    fun usedTokens(home: String): Long = (ownTokensByHome[home] ?: 0) + (peerTokens[home] ?: 0)
+    fun usedTokens(home: String): Long = load(home).tokens
 
     /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
     fun hasOther(home: String, tokens: Long, nowMs: Long): Boolean =
         pathsByService.values.flatten().any { path ->
             path.home != home &&
                 path.crossings == 0 &&
-                (avoidedUntilMs[path.home] ?: 0) <= nowMs &&
-                acceptsMore(path.home, nowMs) &&
-                usedTokens(path.home) + tokens <= path.capacityTokens
+                isAccepting(path, nowMs) &&
+                isPrompt(path, nowMs) &&
+                share(path, tokens) <= FILL_SHARE
         }
 
     /** Notes that a send takes [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long, nowMs: Long): PathUse {
-        ownTokensByHome.merge(path.home, tokens, Long::plus)
+        ownLoads.merge(path.home, PathLoad(tokens, 1), PathLoad::plus)
         return PathUse(path, tokens).also { backlog(path.home).sent(it, nowMs) }
     }
 
     /** Notes that the send of [use] has brought its first event. */
     fun answered(use: PathUse) {
         backlog(use.path.home).answered(use)
+        rejections[use.path.home]?.reset()
     }
 
     /** Notes that the send of [use] has ended. */
     fun release(use: PathUse) {
-        ownTokensByHome.merge(use.path.home, -use.tokens, Long::plus)
-        answered(use)
+        ownLoads.merge(use.path.home, NO_LOAD - PathLoad(use.tokens, 1), PathLoad::plus)
+        backlog(use.path.home).answered(use)
     }
 
-    /** Prefers other paths than that of [home] until [untilMs]. */
-    fun avoid(home: String, untilMs: Long) {
-        avoidedUntilMs.merge(home, untilMs, ::maxOf)
+    /** Leaves the path of [home], which has turned a request away, alone for a while. */
+    fun rejected(home: String, nowMs: Long) {
+        rejections.getOrPut(home) { growingPause(FULL_PAUSE_MS, LAST_PAUSE_MS) }.begin(nowMs)
     }
 
     /** Paths with few crossings if there are any: each takes the whole prompt over a shared link. */
     private fun List<ServingPath>.near(): List<ServingPath> =
         filter { it.crossings <= MAX_CROSSINGS }.ifEmpty { this }
 
-    private fun acceptsMore(home: String, nowMs: Long): Boolean =
-        backlogs[home]?.acceptsMore(nowMs) ?: true
+    private fun isAccepting(path: ServingPath, nowMs: Long): Boolean =
+        rejections[path.home]?.isOver(nowMs) ?: true
+
+    private fun isPrompt(path: ServingPath, nowMs: Long): Boolean =
+        backlogs[path.home]?.acceptsMore(nowMs) ?: true
 
     private fun backlog(home: String): FirstEventBacklog<PathUse> =
         backlogs.getOrPut(home) { firstEventBacklog() }
 
-    private fun load(path: ServingPath, tokens: Long): Double = (
-        usedTokens(
-            path.home
-        ) + tokens
-        ) / path.capacityTokens.coerceAtLeast(1).toDouble()
+    private fun load(home: String): PathLoad =
+        (ownLoads[home] ?: NO_LOAD) + (peerLoads[home] ?: NO_LOAD)
+
+    private fun share(path: ServingPath, tokens: Long): Double =
+        path.shareTaken(load(path.home), PathLoad(tokens, 1))
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
@@ -143,7 +156,11 @@
     }
 
     private companion object {
-        /** Part of a path's memory that is given out; the peers' use is known a little late. */
+        /** Room that is short for a moment is back when the next stream ends. */
+        const val FULL_PAUSE_MS = 150L
+        const val LAST_PAUSE_MS = 2_400L
+
+        /** Part of a path that is given out; the peers' use is known a little late. */
         const val FILL_SHARE = 0.92
 
         /** A prompt of usual length takes 23 ms of the link between zones for each crossing. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -22,7 +22,7 @@
         val queue = rooms.getOrPut(service.name) { ServiceQueue(service) }
         queue.service = service
         val nowMs = clockMs()
-        if (queue.room.size == 0 && stream.tokens <= room(service, nowMs)) {
+        if (queue.room.size == 0 && hasRoom(service, stream.tokens, nowMs)) {
             stream.admitted()
             return
         }
@@ -56,7 +56,7 @@
         rooms.values.filter { it.room.size > 0 }.forEach { queue ->
             queue.room.overdue(nowMs).forEach { it.item.refused("waited in vain", RETRY_AFTER_MS) }
             while (true) {
-                val next = queue.room.next(nowMs, room(queue.service, nowMs)) ?: break
+                val next = queue.room.next(nowMs) { hasRoom(queue.service, it, nowMs) } ?: break
                 next.item.admitted()
             }
         }
@@ -64,13 +64,14 @@
 
     /** What this router's share of full paths frees; any wait is worth it before paths are known. */
     private fun usualTokensPerMs(service: ServiceDefinition): Double {
-        val capacityTokens = paths.capacityTokens(service, faults.failed)
-        if (capacityTokens == 0L) return Double.POSITIVE_INFINITY
-        return capacityTokens / USUAL_STREAM_MS / routerCount()
+        val usualTokens = service.engine?.run { usualPromptTokens + usualAnswerTokens } ?: 0
+        val usableTokens = paths.usableTokens(service, faults.failed, usualTokens.toLong())
+        if (usableTokens == 0L) return Double.POSITIVE_INFINITY
+        return usableTokens / USUAL_STREAM_MS / routerCount()
     }
 
-    private fun room(service: ServiceDefinition, nowMs: Long): Long =
-        paths.roomTokens(service, faults.failed, nowMs)
+    private fun hasRoom(service: ServiceDefinition, tokens: Long, nowMs: Long): Boolean =
+        paths.hasRoom(service, faults.failed, tokens, nowMs)
 
     private class ServiceQueue(var service: ServiceDefinition) {
         val room = waitingRoom<StreamRelay>()
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.paths.GrowingPause
 import org.jacinthlink.decision.paths.SilenceLimit
+import org.jacinthlink.decision.paths.growingPause
 import org.jacinthlink.decision.paths.silenceLimit
 import org.jacinthlink.router.DecisionLog
 
@@ -20,7 +22,7 @@
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
     private var lastMoveMs = 0L
-    private val askedAtMs = HashMap<String, Long>()
+    private val asks = HashMap<String, GrowingPause>()
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -93,10 +95,10 @@
         val next = streams.firstOrNull { stream ->
             val home = stream.home
             val sinceMs = stream.pendingSinceMs
-            home != null && sinceMs != null &&
+            home != null && sinceMs != null && !stream.hasMoved &&
                 nowMs - sinceMs > FIRST_EVENT_LIMIT_MS && hasOther(home, stream.tokens)
         } ?: return
-        next.leavePath("slow to begin")
+        next.moveToPrompt()
     }
 
     private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
@@ -106,9 +108,9 @@
         val limit = limits.getOrPut(home) { silenceLimit() }
         val limitMs = limit.limitMs(lastEventMs, flowing.size, nowMs)
         if (nowMs - lastEventMs < limitMs) return
-        val lastAskedMs = askedAtMs[home] ?: Long.MIN_VALUE / 2
-        if (nowMs - lastAskedMs < SILENT_ASK_PERIOD_MS) return
-        askedAtMs[home] = nowMs
+        val ask = askPause(home)
+        if (!ask.isOver(nowMs)) return
+        ask.begin(nowMs)
         log.event(
             "path_silent",
             "path" to home,
@@ -123,13 +125,16 @@
     /** Asks the servers of a path that has brought no event to anyone for long. */
     private fun askIfStuck(home: String, group: List<StreamRelay>, nowMs: Long) {
         val oldestMs = group.mapNotNull { it.pendingSinceMs }.minOrNull() ?: return
-        val lastAskedMs = askedAtMs[home] ?: Long.MIN_VALUE / 2
-        if (nowMs - oldestMs < STUCK_MS || nowMs - lastAskedMs < ASK_PERIOD_MS) return
-        askedAtMs[home] = nowMs
+        val ask = askPause(home)
+        if (nowMs - oldestMs < STUCK_MS || !ask.isOver(nowMs)) return
+        ask.begin(nowMs)
         log.event("path_stuck", "path" to home, "pending" to group.size, "ms" to nowMs - oldestMs)
         onSilentPath(home)
     }
 
+    private fun askPause(home: String): GrowingPause =
+        asks.getOrPut(home) { growingPause(FIRST_ASK_PAUSE_MS, LAST_ASK_PAUSE_MS) }
+
     companion object {
         /** Period of [tick]. */
         const val TICK_MS = 20L
@@ -139,14 +144,14 @@
         /** A stream with a later event than this is not held up. */
         private const val QUIET_MS = 40L
 
-        /** A slow path is asked again after this time; servers bill each question. */
-        private const val SILENT_ASK_PERIOD_MS = 400L
+        /** A slow path looks silent again and again; servers bill each question. */
+        private const val FIRST_ASK_PAUSE_MS = 250L
+        private const val LAST_ASK_PAUSE_MS = 4_000L
 
         /** Most first events come within 125 ms, and 500 ms are on time. */
         private const val FIRST_EVENT_LIMIT_MS = 300L
 
         /** Without any event for this time a server may be gone. */
         private const val STUCK_MS = 700L
-        private const val ASK_PERIOD_MS = 1_000L
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -17,6 +17,10 @@
     private var send: StreamSend? = null
     private var runs = 0
     private var sends = 0
+
+    /** True if the stream has left a path only because that was slow to begin. */
+    var hasMoved = false
+        private set
     private val answer = StreamAnswer(job.exchange, job.info.lastEventId)
     private var deadline: Timer? = null
     private var retry: Timer? = null
@@ -75,6 +79,12 @@
         sendFailed(current, cause)
     }
 
+    /** Leaves a path that has not brought the first event, for another that answers. */
+    fun moveToPrompt() {
+        hasMoved = true
+        leavePath("slow to begin")
+    }
+
     private fun sendNext(cause: String) {
         val nowMs = context.clockMs()
         val failed = context.faults.failed
@@ -164,7 +174,7 @@
             "at" to info.faultyServer,
             "age_ms" to context.clockMs() - current.startedAtMs
         )
-        context.paths.avoid(current.path.home, context.clockMs() + FULL_PAUSE_MS)
+        context.paths.rejected(current.path.home, context.clockMs())
         info.faultyServer?.let { address ->
             context.servers.at(address)?.let { named(it, info.status) }
         }
@@ -327,9 +337,6 @@
         const val MAX_SILENCE_MS = 1_900L
         const val PATH_WAIT_MS = 50L
         const val NOT_RUN_PAUSE_MS = 80L
-
-        /** A path that turned a request away is not tried again at once. */
-        const val FULL_PAUSE_MS = 150L
         const val RETRY_AFTER_MS = 500L
     }
 }
