Hand targets and open orders to the next holder of the layout duty

After the closing restart the questions to all servers timed out on cold routers, 20 of 38 servers counted as failed, and 32 engines were moved. Change: the holder's news carry the targets; a new holder asks all servers patiently, adopts orders under way and plans from the targets. Unsent streams that are turned away are refused when repeats are scarce. Paths over several zones are used only when there is no other.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -51,7 +51,7 @@
     private val paths: PathBook by lazy { PathBook(log, servers) { paces.slow } }
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
-    private val probe = EngineProbe(loop, engines)
+    private val probe = EngineProbe(loop, engines, clockMs)
     private val paces: PaceWatch = PaceWatch(loop, probe, log) { paths.invalidate() }
     private val faults =
         FaultWatch(
@@ -68,6 +68,7 @@
             configuration,
             servers,
             faults,
+            probe,
             lease,
             orders,
             { paths.usedTokens(it) },
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.layout.Placement
 import org.jacinthlink.decision.retry.RetryLedger
 import org.jacinthlink.router.beliefs.ConfigurationBelief
 import org.jacinthlink.router.beliefs.ServerDirectory
@@ -9,6 +10,7 @@
 import org.jacinthlink.router.layout.LayoutDuty
 import org.jacinthlink.router.peers.LayerLimit
 import org.jacinthlink.router.peers.LayerNews
+import org.jacinthlink.router.peers.LayerTarget
 import org.jacinthlink.router.peers.PathShare
 import org.jacinthlink.router.peers.PeerNews
 import org.jacinthlink.router.relay.FaultWatch
@@ -56,10 +58,15 @@
             failed = faults.failed.toList(),
             leaving = faults.failed.filter { faults.isLeaving(it) },
             slow = beliefs.paces.own.toList(),
-            loads = beliefs.paths.ownLoad.map { PathShare(it.key, it.value.tokens, it.value.streams) },
+            loads = beliefs.paths.ownLoad.map { (home, load) ->
+                PathShare(home, load.tokens, load.streams)
+            },
             firstSends = sends.first,
             repeats = sends.repeats,
             layers = layerNews(nowMs),
+            targets = duty.targets.map {
+                LayerTarget(it.instanceId, it.layers.from, it.layers.to, it.group)
+            },
             limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
         )
     }
@@ -78,7 +85,9 @@
     }
 
     private fun followHolder(news: PeerNews) {
-        duty.forget()
+        duty.follow(
+            news.targets.map { Placement(it.instanceId, LayerRange(it.from, it.to), it.group) }
+        )
         beliefs.servers.limitLayers(
             news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
         )
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -61,6 +61,14 @@
         loop.schedule(NEWS_MS) { if (underWay[server.instanceId] === order) send(server, order) }
     }
 
+    /** Follows an order that another holder of the duty has given to [server]. */
+    fun adopt(server: BackendServer, layers: LayerRange, token: Long) {
+        val order = Order(layers, server.layers, token, clockMs())
+        underWay[server.instanceId] = order
+        log.event("order_adopted", "server" to server.instanceId, "wanted" to layers)
+        followLater(server, order)
+    }
+
     private fun send(server: BackendServer, order: Order) {
         engines.place(server, order.layers, order.token, orderCounts[server.instanceId]) { answer ->
             log.event(
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -13,9 +13,11 @@
 import org.jacinthlink.decision.layout.isBroken
 import org.jacinthlink.decision.layout.nextSteps
 import org.jacinthlink.decision.layout.planLayout
+import org.jacinthlink.platform.fleet.EngineReport
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ConfigurationBelief
 import org.jacinthlink.router.beliefs.ServerDirectory
+import org.jacinthlink.router.relay.EngineProbe
 import org.jacinthlink.router.relay.FaultWatch
 
 /** Keeps every layer of each model held, while this router holds the duty. */
@@ -23,6 +25,7 @@
     private val configuration: ConfigurationBelief,
     private val servers: ServerDirectory,
     private val faults: FaultWatch,
+    private val probe: EngineProbe,
     private val lease: DutyLease,
     private val orders: LayerOrders,
     private val usedTokens: (zone: String) -> Long,
@@ -31,14 +34,19 @@
 ) {
     private val plans = HashMap<String, ServicePlan>()
     private var askedForToken: Long? = null
+    private var inherited = emptyMap<String, Placement>()
 
     /** Layers that engines are about to give up. */
     val limits: Map<String, LayerRange> get() = orders.limits
 
-    /** Forgets plans and orders, because another router holds the duty. */
-    fun forget() {
+    /** What each server is meant to hold, for a successor. */
+    val targets: Collection<Placement> get() = plans.values.flatMap { it.targets.values }
+
+    /** Takes the targets of another router that holds the duty, and forgets own orders. */
+    fun follow(placements: Collection<Placement>) {
         plans.clear()
         orders.clear()
+        inherited = placements.associateBy { it.instanceId }
     }
 
     /** Compares what is held with what should be held, and gives orders; called periodically. */
@@ -51,18 +59,30 @@
         servers.limitLayers(orders.limits)
     }
 
-    /** The former holder's last orders show in the store seconds later. */
+    /** The former holder's last orders show in the store seconds later, and go on. */
     private fun askAll(services: Collection<ServiceDefinition>, token: Long) {
         askedForToken = token
         services.filter { it.engine != null }
             .flatMap { servers.registered(it.name) }
-            .forEach { faults.check(it, "duty taken") }
+            .forEach { server ->
+                probe.askPatiently(server) { report -> if (report != null) heard(server, report, token) }
+            }
+    }
+
+    private fun heard(server: BackendServer, report: EngineReport, token: Long) {
+        val target = inherited[server.instanceId]
+        if (!report.isChangingLayers) {
+            val saidAtMs = clockMs() - REPORT_LAG_MS
+            servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
+        } else if (target != null && lease.fencingToken == token) {
+            orders.adopt(server, target.layers, token)
+        }
     }
 
     private fun place(service: String, engine: EngineProfile, token: Long) {
         val nowMs = clockMs()
         val ready = servers.ready(service).filter { it.isUsable(engine) }
-        val plan = plans.getOrPut(service) { ServicePlan() }
+        val plan = plans.getOrPut(service) { ServicePlan(inherited) }
         orders.retain(servers.all.map { it.instanceId }.toSet())
         plan.refresh(engine, ready, nowMs)
         val states = servers.registered(service).filter { it.isUsable(engine) }
@@ -98,13 +118,13 @@
     }
 
     /** What the servers of a service are meant to hold. */
-    private inner class ServicePlan {
+    private inner class ServicePlan(former: Map<String, Placement>) {
         private var members = emptySet<String>()
-        private var changedAtMs = 0L
+        private var changedAtMs = clockMs()
         private var isPlanned = false
         private val brokenSinceMs = HashMap<Int, Long>()
 
-        var targets = emptyMap<String, Placement>()
+        var targets = former
             private set
 
         /** Group of the servers of each zone. */
@@ -142,7 +162,8 @@
         fun refresh(engine: EngineProfile, ready: List<BackendServer>, nowMs: Long) {
             val seen = ready.map { "${it.instanceId}@${it.bornAtMs}" }.toSet()
             if (seen != members) {
-                changedAtMs = nowMs
+                // A new holder first hears from the servers what its predecessor's orders did.
+                changedAtMs = if (members.isEmpty()) nowMs + TAKE_OVER_MS else nowMs
                 isPlanned = false
                 members = seen
             }
@@ -176,6 +197,12 @@
         /** A short silence of a server is no loss. */
         const val SETTLE_MS = 200L
 
+        /** Servers answer a few ms after they are asked; a new holder may have just started. */
+        const val TAKE_OVER_MS = 200L
+
+        /** A report tells the state of some hundred ms ago. */
+        const val REPORT_LAG_MS = 300L
+
         /** Routers move their streams away from a broken path within this time. */
         const val LEAVE_MS = 1_200L
 
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -20,6 +20,7 @@
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
+ * @property targets What each engine is meant to hold, from the holder of the duty.
  * @property limits Layers that engines are about to give up, from the holder of the duty.
  * @property peers Hosts of some other routers.
  */
@@ -39,6 +40,7 @@
     val firstSends: Int = 0,
     val repeats: Int = 0,
     val layers: List<LayerNews> = emptyList(),
+    val targets: List<LayerTarget> = emptyList(),
     val limits: List<LayerLimit> = emptyList(),
     val peers: List<String> = emptyList()
 )
@@ -63,6 +65,10 @@
     val to: Int
 )
 
+/** Layers that an engine is meant to hold as a member of [group]. */
+@Serializable
+internal data class LayerTarget(val instanceId: String, val from: Int, val to: Int, val group: Int)
+
 /** An engine of which only the layers [from] up to [to] may still be used. */
 @Serializable
 internal data class LayerLimit(val instanceId: String, val from: Int, val to: Int)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -55,8 +55,8 @@
     /**
      * The path with the least load for a request of [tokens], or null if there is none.
      *
-     * A path that crosses zones is used when the others are full or let requests wait. A request
-     * that goes on ([isUrgent]) takes a path with a backlog rather than none.
+     * A path that crosses zones is used only if there is no other. A request that goes on
+     * ([isUrgent]) takes a path with a backlog rather than none.
      */
     fun choose(
         service: ServiceDefinition,
@@ -68,12 +68,11 @@
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
         val usable = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }
-        val prompt = usable.near().filter { isPrompt(it, nowMs) }
-        val candidates = if (isUrgent) prompt.ifEmpty { usable } else prompt
+        val straight = usable.straight()
+        val prompt = straight.filter { isPrompt(it, nowMs) }
+        val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
         val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
-        return roomy.minWithOrNull(
-            compareBy<ServingPath> { it.crossings > 0 }.thenBy { share(it, tokens) }
-        )
+        return roomy.minByOrNull { share(it, tokens) }
     }
 
     /** True if a path has room for a request of [tokens] and answers soon. */
@@ -83,7 +82,7 @@
         tokens: Long,
         nowMs: Long
     ): Boolean =
-        paths(service, failed).near().any {
+        paths(service, failed).straight().any {
             isAccepting(it, nowMs) && isPrompt(it, nowMs) && share(it, tokens) <= FILL_SHARE
         }
 
@@ -127,9 +126,9 @@
         rejections.getOrPut(home) { growingPause(FULL_PAUSE_MS, LAST_PAUSE_MS) }.begin(nowMs)
     }
 
-    /** Paths with few crossings if there are any: each takes the whole prompt over a shared link. */
-    private fun List<ServingPath>.near(): List<ServingPath> =
-        filter { it.crossings <= MAX_CROSSINGS }.ifEmpty { this }
+    /** Paths within a zone if there are any: each crossing takes the prompt over a shared link. */
+    private fun List<ServingPath>.straight(): List<ServingPath> =
+        filter { it.crossings == 0 }.ifEmpty { this }
 
     private fun isAccepting(path: ServingPath, nowMs: Long): Boolean =
         rejections[path.home]?.isOver(nowMs) ?: true
@@ -162,8 +161,5 @@
 
         /** Part of a path that is given out; the peers' use is known a little late. */
         const val FILL_SHARE = 0.92
-
-        /** A prompt of usual length takes 23 ms of the link between zones for each crossing. */
-        const val MAX_CROSSINGS = 4
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -178,7 +178,9 @@
         info.faultyServer?.let { address ->
             context.servers.at(address)?.let { named(it, info.status) }
         }
-        if (sends >= MAX_SENDS) return giveUp("not run")
+        // The caller's return is no repeat; what is left is needed by streams that were cut.
+        val isDear = !answer.hasHead && !context.ledger.hasSpare(context.clockMs())
+        if (sends >= MAX_SENDS || isDear) return giveUp("not run")
         // What was full a moment ago is full now; another send at once only uses the retry budget.
         retry = context.loop.schedule(NOT_RUN_PAUSE_MS) { if (!isDone) sendNext("not run") }
     }
