Count all servers that ran a request, and the sends of silent routers

The shared retry budget forgot routers that were cut off or started anew. Change: AttemptBound leaves out only servers that are registered no longer, and moves by choice need a free place; the budget counts sends told within its window by silent routers and former starts, and is divided among all that may be at work.

--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/AttemptBound.kt
@@ -0,0 +1,26 @@
+package org.jacinthlink.decision.retry
+
+/**
+ * Backend servers that one request has been sent to, against the number that may run it.
+ *
+ * Load pattern: a router that is cut off takes living servers as failed, one after the other. Only
+ * servers that are registered no longer are left out of the count.
+ */
+class AttemptBound internal constructor(private val maxServers: Int) {
+    private val ranOn = mutableSetOf<String>()
+
+    /** Notes that the server at [address] may have run the request. */
+    fun ran(address: String) {
+        ranOn.add(address)
+    }
+
+    /** True if the request may be sent to the server at [address]. */
+    fun allows(address: String, isRegistered: (address: String) -> Boolean): Boolean =
+        address in ranOn || ranOn.count(isRegistered) < maxServers
+
+    /** True if the request may leave the server at [present] for one that it has not run on. */
+    fun allowsMoveFrom(present: String): Boolean = (ranOn + present).size < maxServers
+}
+
+/** The bound of a request that [maxServers] may run. */
+fun attemptBound(maxServers: Int): AttemptBound = AttemptBound(maxServers)
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/AttemptBoundSpec.kt
@@ -0,0 +1,35 @@
+package org.jacinthlink.decision.retry
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+class AttemptBoundSpec :
+    DescribeSpec({
+        describe("a request that two servers may run") {
+            // Guards against a third run when a router that is cut off takes both as failed: seen
+            // in scale-2 of shilpa-nilam, four requests.
+            it("goes to no third while both are registered") {
+                val bound = attemptBound(2)
+                bound.ran("a")
+                bound.allows("b") { true } shouldBe true
+                bound.ran("b")
+                bound.allows("c") { true } shouldBe false
+                bound.allows("a") { true } shouldBe true
+            }
+
+            it("goes to another in the place of one that is gone") {
+                val bound = attemptBound(2)
+                bound.ran("a")
+                bound.ran("b")
+                bound.allows("c") { it != "a" } shouldBe true
+            }
+
+            // Guards against moves by choice that leave nowhere to go when a server dies.
+            it("moves by choice once only") {
+                val bound = attemptBound(2)
+                bound.allowsMoveFrom("a") shouldBe true
+                bound.ran("a")
+                bound.allowsMoveFrom("b") shouldBe false
+            }
+        }
+    })
--- a/router/src/main/kotlin/org/jacinthlink/router/LogConfigurator.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/LogConfigurator.kt
@@ -16,7 +16,9 @@
  * Lines are dropped rather than letting a blocked output hold up a request. Reading the same from
  * an XML file took a third of the processor time of a start.
  */
-internal class LogConfigurator : ContextAwareBase(), Configurator {
+internal class LogConfigurator :
+    ContextAwareBase(),
+    Configurator {
     override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
         context.getLogger("io.netty").level = Level.ERROR
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
-import org.jacinthlink.decision.retry.SendCounts
 import org.jacinthlink.decision.retry.retryLedger
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.OPERATOR_PREFIX
@@ -24,6 +23,7 @@
 import org.jacinthlink.router.relay.FaultWatch
 import org.jacinthlink.router.relay.PaceWatch
 import org.jacinthlink.router.relay.PathBook
+import org.jacinthlink.router.relay.PathGuard
 import org.jacinthlink.router.relay.RelayContext
 import org.jacinthlink.router.relay.StreamAdmission
 import org.jacinthlink.router.relay.StreamBook
@@ -52,13 +52,12 @@
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
     private val probe = EngineProbe(loop, engines, clockMs)
-    private val paces: PaceWatch = PaceWatch(loop, probe, log) { paths.invalidate() }
+    private val paces: PaceWatch = PaceWatch(loop, probe::ask, log) { paths.invalidate() }
     private val faults =
         FaultWatch(
             loop, engines, probe, paces, servers, ::healthPath, log, clockMs,
             { paths.invalidate() }, ::fellSilent
         )
-    private val streams = StreamBook(log, ::checkPath)
     private val lease =
         DutyLease(loop, store, log, DUTY_KEY, settings.instance, DUTY_TTL_MS)
     private val orders =
@@ -76,6 +75,8 @@
             clockMs
         )
     private val ledger = newLedger()
+    private val guard = PathGuard(log, configuration, servers, faults, paths, ledger)
+    private val streams = guard.streams
     private val admission = StreamAdmission(paths, faults, { peers.alive.size + 1 }, clockMs)
     private val context =
         RelayContext(
@@ -101,9 +102,7 @@
     private val peers: PeerExchange =
         PeerExchange(
             loop, store, log, Address(settings.host, settings.peerPort), settings.instance,
-            settings.seeds.map {
-                it.toAddress().host
-            },
+            settings.seeds.map { it.toAddress().host },
             clockMs, { news.compose() }, { news.apply(it) }
         )
     private var isDraining = false
@@ -139,7 +138,8 @@
             operatorWatch.start()
             serverWatch.start()
             loop.repeat(StreamBook.TICK_MS) {
-                streamTick(clockMs())
+                guard.tick(clockMs())
+                admission.tick()
             }
             loop.repeat(DUTY_TICK_MS) { duty.tick() }
             loop.repeat(PEER_TICK_MS) { peerTick() }
@@ -200,16 +200,6 @@
         return count.get()
     }
 
-    private fun streamTick(nowMs: Long) {
-        streams.tick(nowMs)
-        val hasOther = { home: String, tokens: Long ->
-            ledger.hasSpare(nowMs) && paths.hasOther(home, tokens, nowMs)
-        }
-        streams.moveFromLeaving(nowMs, ::isLeaving, hasOther)
-        streams.moveWaiting(nowMs, hasOther)
-        admission.tick()
-    }
-
     private fun peerTick() {
         val alive = peers.alive
         val holderIsKnown = lease.fencingToken != null || peers.holderIsHeard
@@ -218,8 +208,7 @@
         follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
         paths.notePeers(sumOfLoads(alive))
         paces.notePeers(alive.flatMap { it.slow }.toSet())
-        val sends = SendCounts(alive.sumOf { it.firstSends }, alive.sumOf { it.repeats })
-        ledger.onNews(sends, alive.size, clockMs())
+        ledger.onNews(peers.sends(budgetWindowMs), peers.knownCount, clockMs())
     }
 
     private fun storeAgeMs(): Long? {
@@ -252,17 +241,6 @@
     private fun healthPath(service: String): String? =
         configuration.current?.services?.get(service)?.healthPath
 
-    private fun isLeaving(address: String): Boolean =
-        servers.isLeaving(address) || faults.isLeaving(address)
-
-    private fun checkPath(home: String) {
-        configuration.current?.services?.values.orEmpty().forEach { service ->
-            paths.paths(service, faults.failed).filter { it.home == home }
-                .flatMap { it.parts }
-                .forEach { faults.check(it.server, "path silent") }
-        }
-    }
-
     /** The peers hear of it at once: their streams stand still as well. */
     private fun fellSilent(address: String) {
         peers.send()
@@ -280,9 +258,11 @@
         listener
     )
 
+    private val budgetWindowMs: Long get() = (settings.retryBudget.windowS * MS_PER_S).toLong()
+
     private fun newLedger() =
         retryLedger(
-            (settings.retryBudget.windowS * MS_PER_S).toLong(),
+            budgetWindowMs,
             settings.retryBudget.ratio,
             settings.retryBudget.extra
         )
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -65,7 +65,13 @@
         services.filter { it.engine != null }
             .flatMap { servers.registered(it.name) }
             .forEach { server ->
-                probe.askPatiently(server) { report -> if (report != null) heard(server, report, token) }
+                probe.askPatiently(server) { report ->
+                    if (report !=
+                        null
+                    ) {
+                        heard(server, report, token)
+                    }
+                }
             }
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.decodeOrNull
+import org.jacinthlink.decision.retry.SendCounts
 import org.jacinthlink.platform.store.StoreAnswer
 import org.jacinthlink.platform.store.StoreClient
 import org.jacinthlink.platform.store.StorePut
@@ -35,6 +36,12 @@
     /** News of the peers that are alive. */
     val alive: List<PeerNews> get() = table.alive(clockMs())
 
+    /** Number of peers that may be at work, heard or not. */
+    val knownCount: Int get() = table.size
+
+    /** Sends that the peers have told of within [windowMs]. */
+    fun sends(windowMs: Long): SendCounts = table.sends(clockMs(), windowMs)
+
     /** True if a holder of the duty has been heard in the last few periods. */
     val holderIsHeard: Boolean
         get() = table.heardWithin(clockMs(), maxOf(HOLDER_SILENCE_MS, periodMs * HOLDER_PERIODS))
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerTable.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerTable.kt
@@ -1,8 +1,11 @@
 package org.jacinthlink.router.peers
 
+import org.jacinthlink.decision.retry.SendCounts
+
 /** The routers that have been heard of lately. */
 internal class PeerTable(private val ownInstance: String) {
     private val newsByInstance = LinkedHashMap<String, HeardNews>()
+    private val formerStarts = mutableListOf<HeardNews>()
     private val knownHosts = LinkedHashSet<String>()
 
     /** Hosts to send news to. */
@@ -11,7 +14,9 @@
     /** Takes [news] that came at [nowMs]. Returns true if its sender was not heard lately. */
     fun hear(news: PeerNews, nowMs: Long): Boolean {
         if (news.instance == ownInstance) return false
-        val isNew = newsByInstance[news.instance]?.isAlive(nowMs) != true
+        val last = newsByInstance[news.instance]
+        val isNew = last?.isAlive(nowMs) != true
+        if (last != null && last.news.startedAtMs != news.startedAtMs) formerStarts.add(last)
         newsByInstance[news.instance] = HeardNews(news, nowMs)
         knownHosts.add(news.host)
         return isNew
@@ -29,8 +34,23 @@
     fun heardWithin(nowMs: Long, ageMs: Long): List<PeerNews> =
         newsByInstance.values.filter { nowMs - it.heardAtMs <= ageMs }.map { it.news }
 
+    /** Number of peers that may be at work, heard or not. */
+    val size: Int get() = newsByInstance.size
+
+    /**
+     * Sends that the peers have told of within [windowMs].
+     *
+     * What a peer sent before it fell silent, or before it was started anew, still counts.
+     */
+    fun sends(nowMs: Long, windowMs: Long): SendCounts {
+        val told =
+            (newsByInstance.values + formerStarts).filter { nowMs - it.heardAtMs <= windowMs }
+        return SendCounts(told.sumOf { it.news.firstSends }, told.sumOf { it.news.repeats })
+    }
+
     /** Drops peers that have been silent for long, and their hosts. */
     fun forget(nowMs: Long): List<PeerNews> {
+        formerStarts.removeAll { nowMs - it.heardAtMs > FORGET_MS }
         val gone = newsByInstance.values.filter { nowMs - it.heardAtMs > FORGET_MS }
         gone.forEach {
             newsByInstance.remove(it.news.instance)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
@@ -50,8 +50,8 @@
 
     private companion object {
         /** An engine answers a report within 7 ms, also under load. */
-        const val SECOND_MS = 20L
-        const val TIMEOUT_MS = 70L
+        const val SECOND_MS = 15L
+        const val TIMEOUT_MS = 55L
         const val PATIENT_MS = 500L
 
         /** Timers are late by a few ms unless the process was stopped or had no processor. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PaceWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PaceWatch.kt
@@ -13,7 +13,7 @@
  */
 internal class PaceWatch(
     private val loop: EventLoop,
-    private val probe: EngineProbe,
+    private val ask: (BackendServer, (EngineReport?) -> Unit) -> Unit,
     private val log: DecisionLog,
     private val onChanged: () -> Unit
 ) {
@@ -52,7 +52,7 @@
 
     private fun recheck(server: BackendServer) {
         if (server.address !in ownPaces) return
-        probe.ask(server) { report ->
+        ask(server) { report ->
             when {
                 report != null -> heard(server, report)
                 ownPaces.remove(server.address) != null -> onChanged()
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathGuard.kt
@@ -0,0 +1,40 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.retry.RetryLedger
+import org.jacinthlink.router.DecisionLog
+import org.jacinthlink.router.beliefs.ConfigurationBelief
+import org.jacinthlink.router.beliefs.ServerDirectory
+
+/** Keeps streams off paths whose servers are silent, leave or do not answer. */
+internal class PathGuard(
+    log: DecisionLog,
+    private val configuration: ConfigurationBelief,
+    private val servers: ServerDirectory,
+    private val faults: FaultWatch,
+    private val paths: PathBook,
+    private val ledger: RetryLedger
+) {
+    /** Streams under way. */
+    val streams = StreamBook(log, ::askServers)
+
+    /** Looks for streams that should go on elsewhere; called each [StreamBook.TICK_MS]. */
+    fun tick(nowMs: Long) {
+        streams.tick(nowMs)
+        val hasOther = { home: String, tokens: Long ->
+            ledger.hasSpare(nowMs) && paths.hasOther(home, tokens, nowMs)
+        }
+        streams.moveFromLeaving(nowMs, ::isLeaving, hasOther)
+        streams.moveWaiting(nowMs, hasOther)
+    }
+
+    private fun isLeaving(address: String): Boolean =
+        servers.isLeaving(address) || faults.isLeaving(address)
+
+    private fun askServers(home: String) {
+        configuration.current?.services?.values.orEmpty()
+            .flatMap { paths.paths(it, faults.failed) }
+            .filter { it.home == home }
+            .flatMap { it.parts }
+            .forEach { faults.check(it.server, "path silent") }
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -62,7 +62,7 @@
         }
     }
 
-    /** What this router's share of full paths frees; any wait is worth it before paths are known. */
+    /** What this router's share of full paths frees; before paths are known, any wait is short. */
     private fun usualTokensPerMs(service: ServiceDefinition): Double {
         val usualTokens = service.engine?.run { usualPromptTokens + usualAnswerTokens } ?: 0
         val usableTokens = paths.usableTokens(service, faults.failed, usualTokens.toLong())
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -79,7 +79,10 @@
         if (nowMs - lastMoveMs < MOVE_PERIOD_MS) return
         val next = streams.firstOrNull { stream ->
             val home = stream.home
-            home != null && stream.passesThrough(isLeaving) && hasOther(home, stream.tokens)
+            home != null &&
+                stream.mayMove &&
+                stream.passesThrough(isLeaving) &&
+                hasOther(home, stream.tokens)
         } ?: return
         lastMoveMs = nowMs
         next.leavePath("server leaves")
@@ -95,10 +98,13 @@
         val next = streams.firstOrNull { stream ->
             val home = stream.home
             val sinceMs = stream.pendingSinceMs
-            home != null && sinceMs != null && !stream.hasMoved &&
-                nowMs - sinceMs > FIRST_EVENT_LIMIT_MS && hasOther(home, stream.tokens)
+            home != null &&
+                sinceMs != null &&
+                stream.mayMove &&
+                nowMs - sinceMs > FIRST_EVENT_LIMIT_MS &&
+                hasOther(home, stream.tokens)
         } ?: return
-        next.moveToPrompt()
+        next.leavePath("slow to begin")
     }
 
     private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.retry.attemptBound
 import org.jacinthlink.transport.CallFailure
 import org.jacinthlink.transport.Timer
 
@@ -13,14 +14,11 @@
 ) {
     /** Memory that the request needs, in tokens. */
     val tokens: Long = job.expectedTokens
-    private val ranOn = mutableSetOf<String>()
+    private val lines = StreamLog(context, job)
+    private val bound = attemptBound(job.route.maxAttempts)
     private var send: StreamSend? = null
     private var runs = 0
     private var sends = 0
-
-    /** True if the stream has left a path only because that was slow to begin. */
-    var hasMoved = false
-        private set
     private val answer = StreamAnswer(job.exchange, job.info.lastEventId)
     private var deadline: Timer? = null
     private var retry: Timer? = null
@@ -38,6 +36,9 @@
     /** Since when the present path owes the first event, or null if it has brought one. */
     val pendingSinceMs: Long? get() = send?.takeIf { !it.hasEvents }?.startedAtMs
 
+    /** True if the stream may go on elsewhere although its path works. */
+    val mayMove: Boolean get() = send?.let { bound.allowsMoveFrom(it.path.first.address) } == true
+
     /** Sends the request. */
     fun start() {
         streams.add(this)
@@ -79,12 +80,6 @@
         sendFailed(current, cause)
     }
 
-    /** Leaves a path that has not brought the first event, for another that answers. */
-    fun moveToPrompt() {
-        hasMoved = true
-        leavePath("slow to begin")
-    }
-
     private fun sendNext(cause: String) {
         val nowMs = context.clockMs()
         val failed = context.faults.failed
@@ -98,11 +93,8 @@
         }
     }
 
-    /** A request may run on a bounded number of servers; one that has failed does not count. */
-    private fun mayUse(path: ServingPath): Boolean {
-        val counted = ranOn.filter { !context.faults.isFailed(it) }
-        return path.first.address in counted || counted.size < job.route.maxAttempts
-    }
+    private fun mayUse(path: ServingPath): Boolean =
+        bound.allows(path.first.address) { context.servers.at(it) != null }
 
     private fun waitForPath() {
         val nowMs = context.clockMs()
@@ -116,27 +108,10 @@
     }
 
     private fun send(path: ServingPath, cause: String, nowMs: Long) {
-        if (sends == 0) {
-            context.ledger.onFirstSend(nowMs)
-            context.metrics.queued(nowMs - job.startedAtMs)
-        } else {
-            context.metrics.repeated(cause)
-        }
+        if (sends == 0) context.ledger.onFirstSend(nowMs)
         sends++
         runs++
-        context.log.event(
-            "sent",
-            "request" to job.id,
-            "route" to job.route.name,
-            "path" to path.home,
-            "server" to path.first.instanceId,
-            "cause" to cause,
-            "send" to sends,
-            "after_event" to answer.lastEventId,
-            "tokens" to tokens,
-            "left_ms" to job.endsAtMs - nowMs,
-            "configuration" to job.configurationVersion
-        )
+        lines.sent(path, cause, sends, answer, nowMs)
         val next = StreamSend(context.paths.use(path, tokens, nowMs), nowMs, SendEvents())
         send = next
         val message = job.message(
@@ -165,18 +140,10 @@
         runs--
         current.call?.cancel()
         ended(current)
-        val info = current.info
-        context.log.event(
-            "not_run",
-            "request" to job.id,
-            "path" to current.path.home,
-            "status" to info.status,
-            "at" to info.faultyServer,
-            "age_ms" to context.clockMs() - current.startedAtMs
-        )
+        lines.notRun(current)
         context.paths.rejected(current.path.home, context.clockMs())
-        info.faultyServer?.let { address ->
-            context.servers.at(address)?.let { named(it, info.status) }
+        current.info.faultyServer?.let { address ->
+            context.servers.at(address)?.let { named(it, current.info.status) }
         }
         // The caller's return is no repeat; what is left is needed by streams that were cut.
         val isDear = !answer.hasHead && !context.ledger.hasSpare(context.clockMs())
@@ -226,15 +193,8 @@
     }
 
     private fun sendFailed(current: StreamSend, cause: String) {
-        if (!current.wasUnsent) ranOn.add(current.path.first.address)
-        context.log.event(
-            "send_failed",
-            "request" to job.id,
-            "path" to current.path.home,
-            "cause" to cause,
-            "events" to answer.eventCount,
-            "silent_ms" to context.clockMs() - current.lastSignAtMs
-        )
+        if (!current.wasUnsent) bound.ran(current.path.first.address)
+        lines.failed(current, cause, answer)
         if (mayRepeat()) sendNext(cause) else giveUp(cause)
     }
 
@@ -277,21 +237,7 @@
         }
         streams.remove(this)
         context.admission.leave(this, job.service)
-        val nowMs = context.clockMs()
-        context.metrics.ended("stream", status, cause)
-        context.metrics.longestGap(answer.longestGapMs)
-        context.log.event(
-            "ended",
-            "request" to job.id,
-            "route" to job.route.name,
-            "status" to status,
-            "cause" to cause,
-            "events" to answer.eventCount,
-            "sends" to sends,
-            "first_ms" to answer.firstEventAtMs?.let { it - job.startedAtMs },
-            "gap_ms" to answer.longestGapMs,
-            "ms" to nowMs - job.startedAtMs
-        )
+        lines.ended(status, cause, sends, answer)
     }
 
     private fun ended(current: StreamSend) {
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -173,6 +173,26 @@
             }
         }
 
+        describe("the end of the holder of the duty of placing layers") {
+            // Guards against layers that nobody places for seconds, and against a successor that
+            // moves them all anew.
+            it("lets another router take the duty soon and keep all layers where they are") {
+                RouterFixture(peerPort = freePort()).use { fixture ->
+                    fixture.awaitLayers()
+                    val second = fixture.startSecond()
+                    Thread.sleep(1_500)
+                    val former = fixture.engines.map { it.token to it.layers }
+                    fixture.store.read("duty/layout") shouldBe "r1"
+                    fixture.router.stop()
+                    fixture.store.delete("duty/layout")
+                    await(limitMs = 3_000) { fixture.store.read("duty/layout") == "r2" }
+                    Thread.sleep(1_000)
+                    fixture.engines.map { it.token to it.layers } shouldBe former
+                    second.stop()
+                }
+            }
+        }
+
         describe("a router that ends") {
             // Guards against streams that are taken so late that the end of the process cuts them.
             it("turns requests away at once when it is out of use, and finishes older ones") {
@@ -207,5 +227,7 @@
         }
     })
 
+private fun freePort(): Int = java.net.ServerSocket(0).use { it.localPort }
+
 private fun org.jacinthlink.router.standins.EngineStandIn.Run.id(): String? =
     request.headers.valueOf("Attempt-Id")
--- a/router/src/test/kotlin/org/jacinthlink/router/peers/PeerTableSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/PeerTableSpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import org.jacinthlink.decision.retry.SendCounts
 
 class PeerTableSpec :
     DescribeSpec({
@@ -18,6 +19,18 @@
                 table.alive(1_701).shouldBeEmpty()
             }
 
+            // Guards against a retry budget that is used twice, by both sides of a cut or by a router
+            // that has forgotten its sends in a restart.
+            it("still count with their sends when they are silent or started anew") {
+                val table = PeerTable("own")
+                table.hear(news("a").copy(firstSends = 50, repeats = 7), 0)
+                table.hear(news("b").copy(firstSends = 30, repeats = 2), 0)
+                table.hear(news("b").copy(startedAtMs = 5_000), 5_000)
+                table.sends(5_000, 10_000) shouldBe SendCounts(80, 9)
+                table.sends(10_001, 10_000) shouldBe SendCounts(0, 0)
+                table.size shouldBe 2
+            }
+
             it("do not include this router") {
                 val table = PeerTable("own")
                 table.hear(news("own"), 0) shouldBe false
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/relay/PaceWatchSpec.kt
@@ -0,0 +1,59 @@
+package org.jacinthlink.router.relay
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.fleet.ServerState
+import org.jacinthlink.platform.fleet.EngineReport
+import org.jacinthlink.router.decisionLog
+import org.jacinthlink.router.standins.await
+import org.jacinthlink.transport.eventLoop
+
+class PaceWatchSpec :
+    DescribeSpec({
+        val loop = eventLoop("pace")
+        afterSpec { loop.stop() }
+        val server =
+            BackendServer(
+                "e1", "model", "10.0.0.1", 80, "a", ServerState.READY, 134, 0, "l4",
+                LayerRange(
+                    0,
+                    8
+                )
+            )
+
+        fun report(pace: Double) = EngineReport(0, false, 0, LayerRange(0, 8), 0, 0, 0, 0, pace)
+
+        describe("an engine that turns twelve times slower") {
+            // Guards against paths that keep passing through it, and against one that is left out
+            // for good after a slow phase.
+            it("is slow until it reports its usual pace again") {
+                var pace = 12.0
+                val watch =
+                    PaceWatch(loop, { _, onReport -> onReport(report(pace)) }, decisionLog("r")) {}
+                watch.heard(server, report(12.0))
+                watch.slow shouldContainExactly setOf("10.0.0.1:80")
+                pace = 1.0
+                await { watch.slow.isEmpty() }
+            }
+
+            it("is slow by the word of a peer as long as that says so") {
+                val watch = PaceWatch(loop, { _, _ -> }, decisionLog("r")) {}
+                watch.notePeers(setOf("10.0.0.1:80"))
+                watch.slow shouldContainExactly setOf("10.0.0.1:80")
+                watch.own.shouldBeEmpty()
+                watch.notePeers(emptySet())
+                watch.slow.shouldBeEmpty()
+            }
+        }
+
+        describe("an engine that is a little slower than its kind") {
+            it("is used like the others") {
+                val watch = PaceWatch(loop, { _, _ -> }, decisionLog("r")) {}
+                watch.heard(server, report(2.0))
+                watch.slow.shouldBeEmpty()
+            }
+        }
+    })
