--- a/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.paths.probeTimeout
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.EngineReport
 import org.jacinthlink.transport.EventLoop
@@ -17,6 +18,8 @@
     private val engines: EngineClient,
     private val clockMs: () -> Long
 ) {
+    private val limit = probeTimeout()
+
     /** Asks [server] for a report; null if it is silent. */
     fun ask(server: BackendServer, onReport: (EngineReport?) -> Unit) = ask(server, 0, onReport)
 
@@ -26,32 +29,34 @@
 
     private fun ask(server: BackendServer, tries: Int, onReport: (EngineReport?) -> Unit) {
         val askedAtMs = clockMs()
+        val timeoutMs = limit.timeoutMs
         var open = 1
         var isDone = false
         fun answered(report: EngineReport?) {
             open--
+            if (report != null) limit.answered(clockMs() - askedAtMs)
             if (isDone || report == null && open > 0) return
             isDone = true
-            val stoodStill = clockMs() - askedAtMs > TIMEOUT_MS + OWN_DELAY_MS
+            val stoodStill = clockMs() - askedAtMs > timeoutMs + OWN_DELAY_MS
             if (report == null && stoodStill && tries < MAX_TRIES) {
                 ask(server, tries + 1, onReport)
             } else {
                 onReport(report)
             }
         }
-        engines.report(server, TIMEOUT_MS) { answered(it) }
-        loop.schedule(SECOND_MS) {
+        engines.report(server, timeoutMs) { answered(it) }
+        val secondMs = timeoutMs / SECOND_DIVISOR
+        loop.schedule(secondMs) {
             if (!isDone) {
                 open++
-                engines.report(server, TIMEOUT_MS - SECOND_MS, true) { answered(it) }
+                engines.report(server, timeoutMs - secondMs, true) { answered(it) }
             }
         }
     }
 
     private companion object {
-        /** An engine answers a report within 7 ms, also under load. */
-        const val SECOND_MS = 15L
-        const val TIMEOUT_MS = 55L
+        /** The second question still has most of the time for its answer. */
+        const val SECOND_DIVISOR = 4
         const val PATIENT_MS = 500L
 
         /** Timers are late by a few ms unless the process was stopped or had no processor. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -44,10 +44,10 @@
             .forEach { it.leavePath("server silent") }
     }
 
-    /** True if streams pass through [address] and none has had an event lately. */
+    /** True if several streams pass through [address] and none has had an event lately. */
     fun isQuiet(address: String, nowMs: Long): Boolean {
         val passing = streams.filter { it.passesThrough { part -> part == address } }
-        return passing.isNotEmpty() && passing.all { nowMs - it.lastSignAtMs >= QUIET_MS }
+        return passing.size >= SEVERAL && passing.all { nowMs - it.lastSignAtMs >= STILL_MS }
     }
 
     /** Looks for silent paths; called each [TICK_MS]. */
@@ -150,6 +150,10 @@
         /** A stream with a later event than this is not held up. */
         private const val QUIET_MS = 40L
 
+        /** Streams that bear a peer's word out stand still for longer than between two events. */
+        private const val STILL_MS = 65L
+        private const val SEVERAL = 3
+
         /** A slow path looks silent again and again; servers bill each question. */
         private const val FIRST_ASK_PAUSE_MS = 250L
         private const val LAST_ASK_PAUSE_MS = 4_000L
--- a/router/src/test/kotlin/org/jacinthlink/router/peers/PeerTableSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/PeerTableSpec.kt
@@ -19,7 +19,7 @@
                 table.alive(1_701).shouldBeEmpty()
             }
 
-            // Guards against a retry budget that is used twice, by both sides of a cut or by a router
+            // Guards against a retry budget that is used twice, by both sides of a cut or by one
             // that has forgotten its sends in a restart.
             it("still count with their sends when they are silent or started anew") {
                 val table = PeerTable("own")
