--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -74,7 +74,8 @@
             log,
             clockMs
         )
-    private val ledger = newLedger()
+    private val ledger =
+        with(settings.retryBudget) { retryLedger(windowMs, ratio, extra) }
     private val guard = PathGuard(log, configuration, servers, faults, paths, ledger)
     private val streams = guard.streams
     private val admission = StreamAdmission(paths, faults, { peers.alive.size + 1 }, clockMs)
@@ -208,7 +209,7 @@
         follower.tick(alive, storeAgeMs(), WATCH_WAIT_MS)
         paths.notePeers(sumOfLoads(alive))
         paces.notePeers(alive.flatMap { it.slow }.toSet())
-        ledger.onNews(peers.sends(budgetWindowMs), peers.knownCount, clockMs())
+        ledger.onNews(peers.sends(settings.retryBudget.windowMs), peers.knownCount, clockMs())
     }
 
     private fun storeAgeMs(): Long? {
@@ -258,15 +259,6 @@
         listener
     )
 
-    private val budgetWindowMs: Long get() = (settings.retryBudget.windowS * MS_PER_S).toLong()
-
-    private fun newLedger() =
-        retryLedger(
-            budgetWindowMs,
-            settings.retryBudget.ratio,
-            settings.retryBudget.extra
-        )
-
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
         const val MS_PER_S = 1_000
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
@@ -44,7 +44,13 @@
     val ratio: Double = 0.1,
     val windowS: Double = 10.0,
     val extra: Double = 100.0
-)
+) {
+    internal val windowMs: Long get() = (windowS * MS_PER_S).toLong()
+
+    private companion object {
+        const val MS_PER_S = 1_000
+    }
+}
 
 /** Checks what the types of [RouterSettings] cannot state. */
 internal fun Validation.check(settings: RouterSettings) {
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.fleet.ServerState
 import org.jacinthlink.platform.fleet.Decoded
+import org.jacinthlink.platform.fleet.EngineReport
 import org.jacinthlink.platform.fleet.SERVERS_PREFIX
 import org.jacinthlink.platform.fleet.decodeServer
 import org.jacinthlink.platform.store.StoreChange
@@ -100,6 +101,13 @@
         changed()
     }
 
+    /** Takes the layers of a [report] of [server], unless it is changing them. */
+    fun learn(server: BackendServer, report: EngineReport) {
+        if (report.isChangingLayers) return
+        val saidAtMs = clockMs() - REPORT_LAG_MS
+        learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
+    }
+
     /** Uses no more of each server than its range in [next], which is about to be given up. */
     fun limitLayers(next: Map<String, LayerRange>) {
         if (next == limits) return
@@ -168,6 +176,9 @@
         /** Entries of living servers are back within about 2 s of the store's return. */
         const val MISSING_GRACE_MS = 2_200L
 
+        /** A report tells the state of some hundred ms ago. */
+        const val REPORT_LAG_MS = 300L
+
         /** An entry may be as old as two heartbeats; what a server said since goes first. */
         const val ENTRY_AGE_MS = 2_500L
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -66,21 +66,15 @@
             .flatMap { servers.registered(it.name) }
             .forEach { server ->
                 probe.askPatiently(server) { report ->
-                    if (report !=
-                        null
-                    ) {
-                        heard(server, report, token)
-                    }
+                    report?.let { heard(server, it, token) }
                 }
             }
     }
 
     private fun heard(server: BackendServer, report: EngineReport, token: Long) {
+        servers.learn(server, report)
         val target = inherited[server.instanceId]
-        if (!report.isChangingLayers) {
-            val saidAtMs = clockMs() - REPORT_LAG_MS
-            servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
-        } else if (target != null && lease.fencingToken == token) {
+        if (report.isChangingLayers && target != null && lease.fencingToken == token) {
             orders.adopt(server, target.layers, token)
         }
     }
@@ -206,9 +200,6 @@
         /** Servers answer a few ms after they are asked; a new holder may have just started. */
         const val TAKE_OVER_MS = 200L
 
-        /** A report tells the state of some hundred ms ago. */
-        const val REPORT_LAG_MS = 300L
-
         /** Routers move their streams away from a broken path within this time. */
         const val LEAVE_MS = 1_200L
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -57,10 +57,7 @@
     }
 
     private fun heard(server: BackendServer, report: EngineReport) {
-        if (!report.isChangingLayers) {
-            val saidAtMs = clockMs() - REPORT_LAG_MS
-            servers.learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
-        }
+        servers.learn(server, report)
         paces.heard(server, report)
         if (!isLeaving(server.address)) recovered(server.address)
     }
@@ -124,9 +121,6 @@
     private companion object {
         const val RECHECK_MS = 400L
 
-        /** A report tells the state of some hundred ms ago. */
-        const val REPORT_LAG_MS = 300L
-
         /** A health question may wait for a slot. */
         const val HEALTH_TIMEOUT_MS = 250L
     }
