--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/RetryLedger.kt
@@ -56,18 +56,17 @@
 
     /** Takes one repeat if the budget allows it. */
     fun tryRepeat(nowMs: Long): Boolean {
-        if (otherCount == 0) shareUntilNews = left(nowMs) + repeatsSinceNews
-        if (repeatsSinceNews + 1 > shareUntilNews) return false
+        if (repeatsSinceNews + 1 > share(nowMs)) return false
         repeatsSinceNews++
         repeatsMs.addLast(nowMs)
         return true
     }
 
     /** True if a repeat that could be done without leaves enough for those that are needed. */
-    fun hasSpare(nowMs: Long): Boolean {
-        val share = if (otherCount == 0) left(nowMs) + repeatsSinceNews else shareUntilNews
-        return repeatsSinceNews + 1 <= share / 2
-    }
+    fun hasSpare(nowMs: Long): Boolean = repeatsSinceNews + 1 <= share(nowMs) / 2
+
+    private fun share(nowMs: Long): Double =
+        if (otherCount == 0) left(nowMs) + repeatsSinceNews else shareUntilNews
 
     private fun left(nowMs: Long): Double {
         val own = counts(nowMs)
