Keep the inherited targets until a new holder of the duty has planned

Cause: followHolder replaced the inherited targets by those of the newest news, and a new holder tells none for the 200 ms before its first plan. If it ended in that time, its successor planned from nothing and could move all layers. Ruled out: the successor's own plan, which already starts from what it inherited. After: they stay until the new holder tells its own.

--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -10,6 +10,7 @@
 import org.jacinthlink.decision.layout.LayoutState
 import org.jacinthlink.decision.layout.LayoutStep
 import org.jacinthlink.decision.layout.Placement
+import org.jacinthlink.decision.layout.inheritedTargets
 import org.jacinthlink.decision.layout.isBroken
 import org.jacinthlink.decision.layout.nextSteps
 import org.jacinthlink.decision.layout.planLayout
@@ -46,7 +47,7 @@
     fun follow(placements: Collection<Placement>) {
         plans.clear()
         orders.clear()
-        inherited = placements.associateBy { it.instanceId }
+        inherited = inheritedTargets(inherited, placements)
     }
 
     /** Compares what is held with what should be held, and gives orders; called periodically. */
