Mend a layout with few loads, and one group of servers after the other

The zone of the h100 was out of use from 26.6 to 30.9 s, and its load filled the rest. Ruled out: detection (0.2 s) and orders (first answer after 0.5 s). The bound of loads comes from the configuration (it was a constant). The spec "wait until nothing passes" expected no order at all; it now expects that nothing is given up, which is the fault that it guards against.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
@@ -9,6 +9,7 @@
  * @property tokenBytes Memory of one token over all layers.
  * @property activationBytes Bytes that pass from one part of a path to the next for a token.
  * @property loadS Time to load all layers into one engine.
+ * @property loadsAtOnce Loads that the weight store serves side by side at full speed.
  * @property stepMs Time of one token step over all layers at pace 1.
  * @property stepsPerPass Token steps of one pass, which is also the number of tokens in an event.
  * @property readTokensPerS Prompt tokens read a second over all layers at factor 1.
@@ -22,6 +23,7 @@
     val tokenBytes: Double,
     val activationBytes: Double,
     val loadS: Double,
+    val loadsAtOnce: Int,
     val stepMs: Double,
     val stepsPerPass: Int,
     val readTokensPerS: Double,
--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
@@ -0,0 +1,78 @@
+package org.jacinthlink.decision.layout
+
+import kotlin.math.floor
+import org.jacinthlink.decision.fleet.EngineProfile
+import org.jacinthlink.decision.fleet.LayerRange
+
+/** Cost of one more server that loads, in loaded layers: each load has an order and reports. */
+private const val ORDER_COST = 0.5
+
+/** Weight of an even fill beside the number of loads. */
+private const val FILL_COST = 0.05
+
+/**
+ * Splits all layers among [servers] in their order with as few layers to load as possible, so that
+ * each share leaves room for [roomTokens] tokens of requests.
+ *
+ * Load pattern: a large server of a zone is lost under load. A zone whose servers all change their
+ * layers serves nothing for seconds, because the weight store slows down; most can keep what they
+ * hold if their neighbours take a little more. Returns null if the shares don't fit.
+ */
+internal fun splitWithFewLoads(
+    engine: EngineProfile,
+    servers: List<LayoutServer>,
+    roomTokens: Double
+): List<Link>? {
+    val rows = servers.runningFold(firstRow(engine.layerCount)) { row, server ->
+        nextRow(row, server, engine, roomTokens)
+    }
+    if (rows.last().costs.last().isInfinite()) return null
+    var to = engine.layerCount
+    return servers.indices.reversed().mapNotNull { i ->
+        val from = to - rows[i + 1].sizes[to]
+        val layers = LayerRange(from, to)
+        to = from
+        Link(servers[i], layers).takeIf { layers.size > 0 }
+    }.reversed()
+}
+
+/**
+ * The best ways for the first servers to hold the layers up to each end.
+ *
+ * @property costs Least cost by end, in loaded layers.
+ * @property sizes Layers of the last of these servers by end.
+ */
+private class SplitRow(val costs: DoubleArray, val sizes: IntArray)
+
+private fun firstRow(layerCount: Int): SplitRow {
+    val costs = DoubleArray(layerCount + 1) { Double.POSITIVE_INFINITY }
+    costs[0] = 0.0
+    return SplitRow(costs, IntArray(layerCount + 1))
+}
+
+private fun nextRow(
+    former: SplitRow,
+    server: LayoutServer,
+    engine: EngineProfile,
+    roomTokens: Double
+): SplitRow {
+    val most = floor(server.memoryMb / (engine.layerMb + roomTokens * engine.tokenLayerMb)).toInt()
+    val fillCost = FILL_COST * engine.layerMb / server.memoryMb
+    val costs = former.costs.copyOf()
+    val sizes = IntArray(costs.size)
+    for (to in costs.indices) {
+        for (size in 1..minOf(most, to)) {
+            val loads = size - server.heldBetween(to - size, to)
+            val orderCost = if (loads > 0) ORDER_COST else 0.0
+            val cost = former.costs[to - size] + loads + orderCost + fillCost * size * size
+            if (cost < costs[to]) {
+                costs[to] = cost
+                sizes[to] = size
+            }
+        }
+    }
+    return SplitRow(costs, sizes)
+}
+
+private fun LayoutServer.heldBetween(from: Int, to: Int): Int =
+    held?.let { minOf(it.to, to) - maxOf(it.from, from) }?.coerceAtLeast(0) ?: 0
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -52,17 +52,18 @@
     moveOf: (group: Int) -> GroupMove
 ): List<LayoutStep> {
     val groups = states.groupBy { it.group }
-    val together =
-        groups.filterKeys { moveOf(it) == GroupMove.TOGETHER }.values.flatten()
-            .filter { !it.isBusy }
+    val together = directSteps(groups.filterKeys { moveOf(it) == GroupMove.TOGETHER }, loadsAtOnce)
+    val growing =
+        groups.filterKeys { moveOf(it) == GroupMove.WAIT }.values.flatten()
+            .filter { !it.isBusy && it.isGrowing() }
             .mapNotNull { directStep(it) }
     val steps =
         groups.filterKeys { moveOf(it) == GroupMove.STEPWISE }.values
             .flatMap { stepwise(it, layerMb) }
     val (loads, releases) = steps.partition { it.step is LayoutStep.Load }
-    val running = states.count { it.isLoading } + together.size
+    val running = states.count { it.isLoading } + together.size + growing.size
     val urgentFirst = loads.sortedByDescending { it.missingCount }
-    return together + releases.map { it.step } +
+    return together + growing + releases.map { it.step } +
         urgentFirst.take((loadsAtOnce - running).coerceAtLeast(0)).map { it.step }
 }
 
@@ -77,7 +78,7 @@
     /** All servers move at once, which is fastest while nothing passes through the group. */
     TOGETHER,
 
-    /** Requests still pass through a group that is about to move at once. */
+    /** Requests still pass through a group that is about to move at once; nothing is given up. */
     WAIT
 }
 
@@ -90,6 +91,33 @@
     return (0 until layerCount).any { layer -> none { it.wanted != null && it.holds(layer) } }
 }
 
+/** Moves the group with the fewest layers to load first: one that is whole serves again. */
+private fun directSteps(
+    groups: Map<Int, List<LayoutState>>,
+    loadsAtOnce: Int
+): List<LayoutStep> {
+    var running = 0
+    return groups.values.sortedBy { it.layersToLoad() }.flatMap { group ->
+        val steps =
+            if (running >= loadsAtOnce) {
+                emptyList()
+            } else {
+                group.filter { !it.isBusy }.mapNotNull { directStep(it) }
+            }
+        running += steps.size + group.count { it.isLoading }
+        steps
+    }
+}
+
+private fun List<LayoutState>.layersToLoad(): Int = sumOf { state ->
+    val wanted = state.wanted ?: return@sumOf 0
+    (wanted.from until wanted.to).count { !state.holds(it) }
+}
+
+/** True if the server keeps all that it holds. */
+private fun LayoutState.isGrowing(): Boolean =
+    wanted != null && held != null && wanted.contains(held)
+
 private fun directStep(state: LayoutState): LayoutStep? {
     val wanted = state.wanted ?: return null
     return if (state.held == wanted) null else LayoutStep.Load(state.instanceId, wanted)
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
@@ -17,18 +17,19 @@
         }
 }
 
-/** Index in the chain at which a new link would fill the first gap, or null if there is none. */
-internal fun List<Link>.firstGap(layerCount: Int): Int? {
-    var covered = 0
-    forEachIndexed { i, link ->
-        if (link.layers.from > covered) return i
-        covered = maxOf(covered, link.layers.to)
-    }
-    return if (covered < layerCount) size else null
+/** Layers that no link holds; [index] is the place in the chain of a new link that would. */
+internal data class ChainGap(val index: Int, val size: Int)
+
+/** The gaps of the chain. */
+internal fun List<Link>.gaps(layerCount: Int): List<ChainGap> {
+    val ends = listOf(0) + map { it.layers.to }
+    val starts = map { it.layers.from } + layerCount
+    return ends.zip(starts).mapIndexed { i, (end, start) -> ChainGap(i, start - end) }
+        .filter { it.size > 0 }
 }
 
 /**
- * The servers of the chain with [spares] where a gap is, or else in the middle.
+ * The servers of the chain with [spares] where gaps are, or else in the middle.
  *
  * The largest servers of a new chain stand in its middle, where the loss of one moves the others by
  * half as much as at an end.
@@ -37,10 +38,14 @@
     spares: List<LayoutServer>,
     layerCount: Int
 ): List<LayoutServer> {
-    val servers = map { it.server }
     if (isEmpty()) return largestInTheMiddle(spares)
-    val at = firstGap(layerCount) ?: (size / 2)
-    return servers.take(at) + spares.sortedBy { it.instanceId } + servers.drop(at)
+    val places = gaps(layerCount).sortedByDescending { it.size }.map { it.index }
+        .ifEmpty { listOf(size / 2) }
+    val sparesByPlace =
+        spares.sortedWith(compareBy({ -it.memoryMb }, { it.instanceId }))
+            .withIndex()
+            .groupBy({ places[it.index % places.size] }, { it.value })
+    return (0..size).flatMap { sparesByPlace[it].orEmpty() + listOfNotNull(getOrNull(it)?.server) }
 }
 
 private fun largestInTheMiddle(servers: List<LayoutServer>): List<LayoutServer> {
--- a/decision/src/test/kotlin/org/jacinthlink/decision/fleet/TestEngine.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/fleet/TestEngine.kt
@@ -9,6 +9,7 @@
         tokenBytes = 845_373.0,
         activationBytes = 42_268.0,
         loadS = 14.0,
+        loadsAtOnce = 6,
         stepMs = 0.85,
         stepsPerPass = 2,
         readTokensPerS = 196_000.0,
--- a/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
@@ -89,6 +89,27 @@
                 loads shouldBeLessThanOrEqual 40
             }
 
+            // Guards against a zone that serves nothing for seconds while all its servers load.
+            it("loads little more than what the largest server of a zone held") {
+                val lost = loaded.first { it.instanceId == "a-h100-1" }
+                val rest = loaded - lost
+                val held = rest.associate { it.instanceId to it.held }
+                val loads = changes(rest).sumOf { wish ->
+                    val before = held.getValue(wish.instanceId)
+                    wish.layers.size - (before?.intersection(wish.layers)?.size ?: 0)
+                }
+                loads shouldBeLessThanOrEqual 2 * checkNotNull(lost.held).size
+            }
+
+            it("puts the newcomers where the largest gaps are") {
+                val gone = loaded.filter { it.instanceId in setOf("c-l4-1", "c-l4-4") }
+                val spares = gone.map {
+                    it.copy(instanceId = "c-new-${it.instanceId}", held = null)
+                }
+                val moved = changes(loaded - gone.toSet() + spares)
+                moved.map { it.layers }.toSet() shouldBe gone.mapNotNull { it.held }.toSet()
+            }
+
             // Guards against parts with so little room that the zone takes a quarter of its work.
             it("leaves each part nearly the room of an even split") {
                 val lost = loaded.first { it.instanceId == "c-a100s-1" }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -89,7 +89,7 @@
         val states = servers.registered(service).filter { it.isUsable(engine) }
             .mapNotNull { it.toState(engine, plan) }
         val moves = plan.moves(states)
-        nextSteps(states, engine.layerMb, LOADS_AT_ONCE, moves::getValue).forEach { step ->
+        nextSteps(states, engine.layerMb, engine.loadsAtOnce, moves::getValue).forEach { step ->
             val server = ready.first { it.instanceId == step.instanceId }
             when (step) {
                 is LayoutStep.Load -> orders.load(server, step.layers, token)
@@ -203,8 +203,5 @@
 
         /** Routers move their streams away from a broken path within this time. */
         const val LEAVE_MS = 1_200L
-
-        /** Loads that the weight store serves side by side at full speed. */
-        const val LOADS_AT_ONCE = 6
     }
 }
