Count the weights that a server loads against the room of its paths

The room was worked out from the layers that it held, and its memory shrinks as soon as the order is accepted. Ruled out: leaving (its health was good) and a wrong part (421 at others). Change: the holder tells the peers of each order under way how many layers take memory, and paths are planned with that room.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
@@ -8,6 +8,8 @@
  * @property accelerator Kind of its accelerator, or null for a plain service.
  * @property layers Layers that it holds, or null if it holds none.
  * @property usableLayers Those of [layers] that it is not about to give up.
+ * @property weightLayers Number of layers whose weights take its memory, those included that it is
+ *   loading.
  */
 data class BackendServer(
     val instanceId: String,
@@ -20,15 +22,35 @@
     val bornAtMs: Long,
     val accelerator: String?,
     val layers: LayerRange?,
-    val usableLayers: LayerRange? = layers
+    val usableLayers: LayerRange? = layers,
+    val weightLayers: Int = layers?.size ?: 0
 ) {
     /** `IP:PORT`. */
     val address: String get() = "$host:$port"
+
+    /** The server once it holds [next] and changes nothing. */
+    fun holding(next: LayerRange?): BackendServer =
+        copy(layers = next, usableLayers = next, weightLayers = next?.size ?: 0)
+
+    /** The server while it carries [change] out. */
+    fun during(change: LayerChange): BackendServer =
+        copy(
+            usableLayers = if (change.kept == null) layers else layers?.intersection(change.kept),
+            weightLayers = maxOf(layers?.size ?: 0, change.weightLayers)
+        )
 }
 
 /** Whether a backend server takes new work. */
 enum class ServerState { READY, DRAINING }
 
+/**
+ * An order that a server is carrying out.
+ *
+ * @property kept Those of its layers that it goes on to hold, or null if it gives none up.
+ * @property weightLayers Number of layers whose weights take its memory meanwhile.
+ */
+data class LayerChange(val kept: LayerRange?, val weightLayers: Int)
+
 /** Layers [from] up to [to], exclusive. */
 data class LayerRange(val from: Int, val to: Int) {
     val size: Int get() = to - from
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -34,8 +34,11 @@
         LayoutStep
 }
 
-/** Part of a server's memory that weights may take while it holds old and new layers. */
-private const val MAX_MEMORY_SHARE = 0.95
+/**
+ * Part of a server's memory that weights may take while it holds old and new layers. The rest is
+ * what the requests of a usual load need, which a fuller server would turn away.
+ */
+private const val MAX_MEMORY_SHARE = 0.8
 
 /**
  * The orders that can be given now, the most urgent first.
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -106,7 +106,7 @@
 
 private fun roomTokens(engine: EngineProfile, part: PathPart): Long {
     val memoryMb = engine.accelerators[part.server.accelerator]?.memoryMb ?: 0.0
-    val roomMb = memoryMb - (part.server.layers?.size ?: 0) * engine.layerMb
+    val roomMb = memoryMb - part.server.weightLayers * engine.layerMb
     return (roomMb / (part.layers.size * engine.tokenLayerMb)).toLong().coerceAtLeast(0)
 }
 
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
@@ -3,8 +3,10 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.fleet.ServerState
 import org.jacinthlink.decision.fleet.TEST_ENGINE
@@ -54,6 +56,16 @@
                     .layers() shouldContainExactly listOf("0-30", "30-80")
             }
 
+            // Guards against requests that are turned away for seconds while a zone is mended.
+            it("have less room while a server loads more layers") {
+                val loading = zoneA[0].during(LayerChange(null, 40)).copy(accelerator = "h100")
+                val free = zoneA[0].copy(accelerator = "h100")
+                val small = zoneA[1].copy(accelerator = "h100", weightLayers = 1)
+                fun tokens(first: BackendServer) =
+                    planPaths(TEST_ENGINE, listOf(first, small), emptySet()).single().capacityTokens
+                tokens(loading) shouldBeLessThan tokens(free)
+            }
+
             it("do not exist while a layer is held nowhere") {
                 planPaths(TEST_ENGINE, listOf(zoneA[0]), emptySet()).shouldBeEmpty()
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router
 
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.layout.Placement
 import org.jacinthlink.decision.retry.RetryLedger
@@ -8,7 +9,7 @@
 import org.jacinthlink.router.beliefs.ServerDirectory
 import org.jacinthlink.router.layout.DutyLease
 import org.jacinthlink.router.layout.LayoutDuty
-import org.jacinthlink.router.peers.LayerLimit
+import org.jacinthlink.router.peers.LayerChangeNews
 import org.jacinthlink.router.peers.LayerNews
 import org.jacinthlink.router.peers.LayerTarget
 import org.jacinthlink.router.peers.PathShare
@@ -67,7 +68,7 @@
             targets = duty.targets.map {
                 LayerTarget(it.instanceId, it.layers.from, it.layers.to, it.group)
             },
-            limits = duty.limits.map { LayerLimit(it.key, it.value.from, it.value.to) }
+            changes = duty.changes.map { (id, change) -> change.toNews(id) }
         )
     }
 
@@ -88,9 +89,7 @@
         duty.follow(
             news.targets.map { Placement(it.instanceId, LayerRange(it.from, it.to), it.group) }
         )
-        beliefs.servers.limitLayers(
-            news.limits.associate { it.instanceId to LayerRange(it.from, it.to) }
-        )
+        beliefs.servers.noteChanges(news.changes.associate { it.instanceId to it.toChange() })
     }
 
     private fun checkReported(server: BackendServer, news: PeerNews) {
@@ -114,6 +113,12 @@
             )
         }
 
+    private fun LayerChange.toNews(instanceId: String) =
+        LayerChangeNews(instanceId, weightLayers, kept?.from, kept?.to)
+
+    private fun LayerChangeNews.toChange() =
+        LayerChange(from?.let { LayerRange(it, to ?: it) }, weightLayers)
+
     private companion object {
         /** Layers that were learnt within this time are told to the peers. */
         const val LAYER_NEWS_MS = 3_000L
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router.beliefs
 
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.decision.fleet.ServerState
 import org.jacinthlink.platform.fleet.Decoded
@@ -20,7 +21,7 @@
     private val servers = LinkedHashMap<String, BackendServer>()
     private val missingSinceMs = HashMap<String, Long>()
     private val learntAtMs = HashMap<String, Long>()
-    private var limits = emptyMap<String, LayerRange>()
+    private var changes = emptyMap<String, LayerChange>()
     private var readyAddresses = emptySet<String>()
 
     /** All servers that may be used or are leaving. */
@@ -30,7 +31,7 @@
     fun ready(service: String): List<BackendServer> =
         servers.values
             .filter { it.service == service && it.state == ServerState.READY }
-            .map { it.limited() }
+            .map { it.present() }
 
     /** Servers of [service] that are registered, whatever their state. */
     fun registered(service: String): List<BackendServer> =
@@ -91,7 +92,7 @@
         learntAtMs[instanceId] = saidAtMs
         if (known.layers == layers && known.bornAtMs == bornAtMs) return
         servers[instanceId] =
-            known.copy(bornAtMs = bornAtMs, layers = layers, usableLayers = layers)
+            known.copy(bornAtMs = bornAtMs).holding(layers)
         log.event(
             "layers_learnt",
             "server" to instanceId,
@@ -108,22 +109,25 @@
         learnLayers(server.instanceId, report.bornAtMs, report.layers, saidAtMs)
     }
 
-    /** Uses no more of each server than its range in [next], which is about to be given up. */
-    fun limitLayers(next: Map<String, LayerRange>) {
-        if (next == limits) return
-        limits = next
+    /** Takes [next] as the orders that are under way, by instance id. */
+    fun noteChanges(next: Map<String, LayerChange>) {
+        if (next == changes) return
+        changes = next
         changed()
     }
 
+    /** True if the server with [instanceId] carries out an order of the holder of the duty. */
+    fun isChanging(instanceId: String): Boolean = instanceId in changes
+
     private fun changed() {
         readyAddresses =
             servers.values.filter { it.state == ServerState.READY }.map { it.address }.toSet()
         onChanged()
     }
 
-    private fun BackendServer.limited(): BackendServer {
-        val limit = limits[instanceId] ?: return this
-        return copy(usableLayers = layers?.intersection(limit))
+    private fun BackendServer.present(): BackendServer {
+        val change = changes[instanceId] ?: return this
+        return during(change)
     }
 
     private fun put(next: BackendServer) {
@@ -133,7 +137,7 @@
         val isLearntLately = learntMs != null && clockMs() - learntMs < ENTRY_AGE_MS
         val merged =
             if (known != null && known.bornAtMs == next.bornAtMs && isLearntLately) {
-                next.copy(layers = known.layers, usableLayers = known.layers)
+                next.holding(known.layers)
             } else {
                 next
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router.layout
 
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.EngineReport
@@ -25,9 +26,8 @@
     /** Orders that each engine has accepted, so that one that arrives late is refused. */
     private val orderCounts = HashMap<String, Long>()
 
-    /** Engines that give layers up, and what may still be used of them; empty for nothing. */
-    val limits: Map<String, LayerRange>
-        get() = underWay.filterValues { it.givesUp }.mapValues { it.value.usable }
+    /** What the orders under way change, by instance id. */
+    val changes: Map<String, LayerChange> get() = underWay.mapValues { it.value.change }
 
     /** True while [instanceId] carries out an order. */
     fun isUnderWay(instanceId: String): Boolean = instanceId in underWay
@@ -149,7 +149,9 @@
         val givenAtMs: Long
     ) {
         val givesUp: Boolean get() = held != null && !layers.contains(held)
-        val usable: LayerRange get() = held?.intersection(layers) ?: NOTHING
+        private val kept: LayerRange? get() = held?.let { it.intersection(layers) ?: NOTHING }
+        val change =
+            LayerChange(kept.takeIf { givesUp }, maxOf(layers.size, held?.size ?: 0))
     }
 
     private companion object {
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayoutDuty.kt
@@ -2,7 +2,7 @@
 
 import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.fleet.EngineProfile
-import org.jacinthlink.decision.fleet.LayerRange
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.ServerState
 import org.jacinthlink.decision.fleet.ServiceDefinition
 import org.jacinthlink.decision.layout.GroupMove
@@ -37,8 +37,8 @@
     private var askedForToken: Long? = null
     private var inherited = emptyMap<String, Placement>()
 
-    /** Layers that engines are about to give up. */
-    val limits: Map<String, LayerRange> get() = orders.limits
+    /** Orders that are under way, by instance id. */
+    val changes: Map<String, LayerChange> get() = orders.changes
 
     /** What each server is meant to hold, for a successor. */
     val targets: Collection<Placement> get() = plans.values.flatMap { it.targets.values }
@@ -57,7 +57,7 @@
         val services = configuration.current?.services?.values.orEmpty()
         if (token != askedForToken) askAll(services, token)
         services.forEach { service -> service.engine?.let { place(service.name, it, token) } }
-        servers.limitLayers(orders.limits)
+        servers.noteChanges(orders.changes)
     }
 
     /** The former holder's last orders show in the store seconds later, and go on. */
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -21,7 +21,7 @@
  * @property repeats Other sends within it.
  * @property layers Layers that the sender has learnt of from engines within the last seconds.
  * @property targets What each engine is meant to hold, from the holder of the duty.
- * @property limits Layers that engines are about to give up, from the holder of the duty.
+ * @property changes Orders that engines are carrying out, from the holder of the duty.
  * @property peers Hosts of some other routers.
  */
 @Serializable
@@ -41,7 +41,7 @@
     val repeats: Int = 0,
     val layers: List<LayerNews> = emptyList(),
     val targets: List<LayerTarget> = emptyList(),
-    val limits: List<LayerLimit> = emptyList(),
+    val changes: List<LayerChangeNews> = emptyList(),
     val peers: List<String> = emptyList()
 )
 
@@ -69,6 +69,14 @@
 @Serializable
 internal data class LayerTarget(val instanceId: String, val from: Int, val to: Int, val group: Int)
 
-/** An engine of which only the layers [from] up to [to] may still be used. */
+/**
+ * An engine that carries out an order: if it gives layers up, only those [from] up to [to] may be
+ * used, and the weights of [weightLayers] layers take its memory.
+ */
 @Serializable
-internal data class LayerLimit(val instanceId: String, val from: Int, val to: Int)
+internal data class LayerChangeNews(
+    val instanceId: String,
+    val weightLayers: Int,
+    val from: Int? = null,
+    val to: Int? = null
+)
--- a/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import org.jacinthlink.decision.fleet.LayerChange
 import org.jacinthlink.decision.fleet.LayerRange
 import org.jacinthlink.platform.store.StoreChange
 import org.jacinthlink.platform.store.StoreItem
@@ -77,11 +78,20 @@
 
             it("that are about to be given up are not usable") {
                 directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
-                directory.limitLayers(mapOf("a" to LayerRange(0, 3)))
+                directory.noteChanges(mapOf("a" to LayerChange(LayerRange(0, 3), 5)))
                 val server = directory.ready("s").first()
                 server.usableLayers shouldBe LayerRange(0, 3)
                 server.layers shouldBe LayerRange(0, 5)
             }
+
+            // Guards against requests for which a server has no memory while it loads layers.
+            it("that are being loaded take memory before they can be used") {
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.noteChanges(mapOf("a" to LayerChange(null, 9)))
+                val server = directory.ready("s").first()
+                server.usableLayers shouldBe LayerRange(0, 5)
+                server.weightLayers shouldBe 9
+            }
         }
 
         describe("entries that cannot be read") {
