Leave a server out of the bound of a request only if it broke off and is gone

Ruled out: double counting of a first server within a zone (allowed), and the bound's own arithmetic. Change: a server is left out only if the send ended by its silence or a broken connection, and it is registered no longer.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -35,6 +35,9 @@
     /** True if [address] is out of use. */
     fun isFailed(address: String): Boolean = address in faults
 
+    /** True if the server at [address] does not answer. */
+    fun isSilent(address: String): Boolean = faults[address]?.isLeaving == false
+
     /** True if the server at [address] turns requests away, though it lives. */
     fun isLeaving(address: String): Boolean = faults[address]?.isLeaving == true
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -193,7 +193,8 @@
     }
 
     private fun sendFailed(current: StreamSend, cause: String) {
-        if (!current.wasUnsent) bound.ran(current.path.first.address)
+        val first = current.path.first.address
+        if (!current.wasUnsent) bound.ran(first, current.wasCut || context.faults.isSilent(first))
         lines.failed(current, cause, answer)
         if (mayRepeat()) sendNext(cause) else giveUp(cause)
     }
@@ -266,8 +267,10 @@
                     send.wasUnsent = true
                     context.faults.check(send.path.first, "not connected")
                 }
-                CallFailure.CONNECTION_LOST ->
+                CallFailure.CONNECTION_LOST -> {
+                    send.wasCut = true
                     context.faults.check(send.path.first, "connection lost")
+                }
                 CallFailure.KEPT_CONNECTION_CLOSED, CallFailure.MALFORMED_ANSWER -> Unit
             }
             sendFailed(send, failure.name.lowercase())
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamSend.kt
@@ -57,6 +57,9 @@
     /** True once an event has come. */
     var hasEvents = false
 
+    /** True if the server broke the answer off. */
+    var wasCut = false
+
     /** True if no byte of the request was sent. */
     var wasUnsent = false
 
