Take a server out of use while it carries out an order that arrived late

Ruled out: leaving (health 200), a full server (its report shows free memory). Change: a healthy server that turns a request away is asked for its report; if it changes layers by an order that the holder of the duty does not tell of, it gets no requests until it is done. Its kind in the log is "changing".

--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -56,8 +56,8 @@
             dutyToken = lease.fencingToken,
             configurationVersion = beliefs.configuration.current?.version,
             storeAgeMs = storeAgeMs(),
-            failed = faults.failed.toList(),
-            leaving = faults.failed.filter { faults.isLeaving(it) },
+            failed = faults.lost.toList(),
+            leaving = faults.lost.filter { faults.isLeaving(it) },
             slow = beliefs.paces.own.toList(),
             loads = beliefs.paths.ownLoad.map { (home, load) ->
                 PathShare(home, load.tokens, load.streams)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -12,7 +12,8 @@
  * Backend servers that are out of use until they answer or take work again.
  *
  * A silent server is asked for a report, which any living engine gives at once. A server that turns
- * requests away is asked for its health, because the store may be unable to tell that it drains.
+ * requests away is asked for its health, because the store may be unable to tell that it drains, and
+ * then whether it carries out an order that arrived late, which nobody expects any more.
  */
 internal class FaultWatch(
     private val loop: EventLoop,
@@ -35,11 +36,14 @@
     /** True if [address] is out of use. */
     fun isFailed(address: String): Boolean = address in faults
 
+    /** Addresses of servers that leave or are silent, which the peers should know. */
+    val lost: Set<String> get() = faults.filterValues { it.kind != FaultKind.CHANGING }.keys.toSet()
+
     /** True if the server at [address] does not answer. */
-    fun isSilent(address: String): Boolean = faults[address]?.isLeaving == false
+    fun isSilent(address: String): Boolean = faults[address]?.kind == FaultKind.SILENT
 
-    /** True if the server at [address] turns requests away, though it lives. */
-    fun isLeaving(address: String): Boolean = faults[address]?.isLeaving == true
+    /** True if the server at [address] turns requests away because it drains. */
+    fun isLeaving(address: String): Boolean = faults[address]?.kind == FaultKind.LEAVING
 
     /** Asks [server] for its state; without an answer it is taken as failed. */
     fun check(server: BackendServer, cause: String) {
@@ -47,7 +51,7 @@
         probe.ask(server) { report ->
             asking.remove(server.address)
             if (report == null) {
-                mark(server.address, isLeaving = false, cause)
+                mark(server.address, FaultKind.SILENT, cause)
             } else {
                 heard(server, report)
             }
@@ -56,7 +60,7 @@
 
     /** Takes the word of a peer that [server] is silent, which own streams bear out. */
     fun believeSilent(server: BackendServer, cause: String) {
-        if (!isFailed(server.address)) mark(server.address, isLeaving = false, cause)
+        if (!isFailed(server.address)) mark(server.address, FaultKind.SILENT, cause)
     }
 
     private fun heard(server: BackendServer, report: EngineReport) {
@@ -72,21 +76,44 @@
         engines.health(server, path, HEALTH_TIMEOUT_MS) { health ->
             asking.remove(server.address)
             when (health) {
-                ServerHealth.SERVING -> recovered(server.address)
-                ServerHealth.LEAVING -> mark(server.address, isLeaving = true, cause)
+                ServerHealth.SERVING -> checkChange(server, cause)
+                ServerHealth.LEAVING -> mark(server.address, FaultKind.LEAVING, cause)
                 ServerHealth.SILENT -> check(server, cause)
             }
         }
     }
 
-    private fun mark(address: String, isLeaving: Boolean, cause: String) {
+    /** Asks [server], which is healthy but turns requests away, whether it changes its layers. */
+    private fun checkChange(server: BackendServer, cause: String) {
+        if (servers.isChanging(server.instanceId)) return recovered(server.address)
+        if (!asking.add(server.address)) return
+        probe.ask(server) { report ->
+            asking.remove(server.address)
+            when {
+                report == null -> mark(server.address, FaultKind.SILENT, cause)
+                report.isChangingLayers && !report.isFull() ->
+                    mark(server.address, FaultKind.CHANGING, cause)
+                else -> heard(server, report)
+            }
+        }
+    }
+
+    /** A full server turns requests away whatever else it does. */
+    private fun EngineReport.isFull(): Boolean =
+        usedTokenLayers >= totalTokenLayers * FULL_SHARE
+
+    private fun mark(address: String, kind: FaultKind, cause: String) {
         val known = faults[address]
-        if (known?.isLeaving != isLeaving) {
-            faults[address] = Fault(known?.sinceMs ?: clockMs(), isLeaving)
-            val kind = if (isLeaving) "leaves" else "silent"
-            log.event("server_failed", "address" to address, "kind" to kind, "cause" to cause)
+        if (known?.kind != kind) {
+            faults[address] = Fault(known?.sinceMs ?: clockMs(), kind)
+            log.event(
+                "server_failed",
+                "address" to address,
+                "kind" to kind.name.lowercase(),
+                "cause" to cause
+            )
             onChanged()
-            if (!isLeaving) onSilent(address)
+            if (kind == FaultKind.SILENT) onSilent(address)
         }
         askLater(address)
     }
@@ -98,7 +125,8 @@
             when {
                 fault == null -> Unit
                 server == null -> forget(address)
-                fault.isLeaving -> checkHealth(server, "still leaving")
+                fault.kind == FaultKind.LEAVING -> checkHealth(server, "still leaving")
+                fault.kind == FaultKind.CHANGING -> checkChange(server, "still changing")
                 else -> check(server, "still silent")
             }
         }
@@ -119,11 +147,22 @@
         onChanged()
     }
 
-    private class Fault(val sinceMs: Long, val isLeaving: Boolean)
+    private enum class FaultKind {
+        SILENT,
+        LEAVING,
+
+        /** It gives layers up or loads them, by an order that this process does not know. */
+        CHANGING
+    }
+
+    private class Fault(val sinceMs: Long, val kind: FaultKind)
 
     private companion object {
         const val RECHECK_MS = 400L
 
+        /** Reports are some hundred ms old, so a full server may show a little room. */
+        const val FULL_SHARE = 0.85
+
         /** A health question may wait for a slot. */
         const val HEALTH_TIMEOUT_MS = 250L
     }
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -115,6 +116,29 @@
             }
         }
 
+        describe("an engine that carries out an order that arrived late") {
+            // Guards against requests that are sent to it again and again until it is done: seen
+            // in trouble-3 of ubcls-router, 158 of them at one engine within 7 s.
+            it("gets no requests until it is done") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    fixture.call("/s/x", "early")
+                    val late = fixture.engines.first { it.runs.size > 0 }
+                    late.script = Script.Changing
+                    repeat(30) { i ->
+                        fixture.call("/s/x", "late-$i") shouldStartWith "HTTP/1.1 200"
+                        Thread.sleep(50)
+                    }
+                    late.rejected.get() shouldBeInRange 1..3
+                    late.script = Script.Serve
+                    await {
+                        fixture.call("/s/x", "later")
+                        late.runs.size > 1
+                    }
+                }
+            }
+        }
+
         describe("a request that may run once") {
             // Guards against a booking that is recorded twice.
             it("is not sent again when its answer is lost, and is not said to be unrun") {
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -46,6 +46,9 @@
 
         /** The request is turned away unrun. */
         data object Full : Script
+
+        /** An unknown order is carried out: requests are turned away unrun. */
+        data object Changing : Script
     }
 
     /** A request that ran here. */
@@ -63,6 +66,9 @@
 
     val runs: MutableList<Run> = java.util.concurrent.CopyOnWriteArrayList()
 
+    /** Requests that were turned away. */
+    val rejected = java.util.concurrent.atomic.AtomicInteger()
+
     /** Connections that callers closed before the answer had ended. */
     val cancelled = java.util.concurrent.atomic.AtomicInteger()
 
@@ -92,7 +98,8 @@
 
     private fun report(): String =
         buildJsonObject {
-            put("busy", false)
+            put("busy", script == Script.Changing)
+            put("kvTotal", 1_000)
             put("sequence", 1)
             put("born", 1)
             layers?.let {
@@ -123,9 +130,11 @@
         if (request.headers.valueOf("Expect-Instance") != instanceId) {
             return exchange.respond(421, emptyList(), ByteArray(0))
         }
-        if (script == Script.Full) {
+        if (script == Script.Full || script == Script.Changing) {
+            rejected.incrementAndGet()
             val notRun = HeaderField("Not-Executed", "1")
-            return exchange.respond(503, listOf(notRun), ByteArray(0))
+            val at = HeaderField("At-Server", address.toString())
+            return exchange.respond(503, listOf(notRun, at), ByteArray(0))
         }
         runs.add(Run(request))
         exchange.onClientClosed { cancelled.incrementAndGet() }
