--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
@@ -7,12 +7,6 @@
 /** Cost of one more server that loads, in loaded layers: each load has an order and reports. */
 private const val ORDER_COST = 0.5
 
-/**
- * Cost of one more server that gives layers up for others, in loaded layers: it needs memory for
- * both, or waits until no request passes through the old ones.
- */
-private const val SHIFT_COST = 3.0
-
 /** Weight of an even fill beside the number of loads. */
 private const val FILL_COST = 0.05
 
@@ -68,8 +62,9 @@
     val sizes = IntArray(costs.size)
     for (to in costs.indices) {
         for (size in 1..minOf(most, to)) {
-            val moveCost = server.moveCost(to - size, to)
-            val cost = former.costs[to - size] + moveCost + fillCost * size * size
+            val loads = size - server.heldBetween(to - size, to)
+            val orderCost = if (loads > 0) ORDER_COST else 0.0
+            val cost = former.costs[to - size] + loads + orderCost + fillCost * size * size
             if (cost < costs[to]) {
                 costs[to] = cost
                 sizes[to] = size
@@ -79,13 +74,5 @@
     return SplitRow(costs, sizes)
 }
 
-private fun LayoutServer.moveCost(from: Int, to: Int): Double {
-    val kept = heldBetween(from, to)
-    val loads = to - from - kept
-    if (loads == 0) return 0.0
-    val givesUp = held != null && kept < held.size
-    return loads + ORDER_COST + if (givesUp) SHIFT_COST else 0.0
-}
-
 private fun LayoutServer.heldBetween(from: Int, to: Int): Int =
     held?.let { minOf(it.to, to) - maxOf(it.from, from) }?.coerceAtLeast(0) ?: 0
