Use paths that cross zones when the others are full

Change: a path that crosses is used when no path within a zone takes the request; its backlog of first events bounds it, which is what the shared link slows down. PathBook checks in one place whether a path takes a request.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -55,7 +55,7 @@
     /**
      * The path with the least load for a request of [tokens], or null if there is none.
      *
-     * A path that crosses zones is used only if there is no other. A request that goes on
+     * A path that crosses zones is used when no other takes the request. A request that goes on
      * ([isUrgent]) takes a path with a backlog rather than none.
      */
     fun choose(
@@ -67,12 +67,12 @@
         mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
-        val usable = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }
-        val straight = usable.straight()
+        val taking = all.filter { takes(it, tokens, nowMs) }.straight()
+        if (taking.isNotEmpty()) return taking.minByOrNull { share(it, tokens) }
+        val straight = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }.straight()
         val prompt = straight.filter { isPrompt(it, nowMs) }
         val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
-        val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
-        return roomy.minByOrNull { share(it, tokens) }
+        return candidates.minByOrNull { share(it, tokens) }
     }
 
     /** True if a path has room for a request of [tokens] and answers soon. */
@@ -81,10 +81,7 @@
         failed: Set<String>,
         tokens: Long,
         nowMs: Long
-    ): Boolean =
-        paths(service, failed).straight().any {
-            isAccepting(it, nowMs) && isPrompt(it, nowMs) && share(it, tokens) <= FILL_SHARE
-        }
+    ): Boolean = paths(service, failed).any { takes(it, tokens, nowMs) }
 
     /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
     fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
@@ -95,13 +92,8 @@
 
     /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
     fun hasOther(home: String, tokens: Long, nowMs: Long): Boolean =
-        pathsByService.values.flatten().any { path ->
-            path.home != home &&
-                path.crossings == 0 &&
-                isAccepting(path, nowMs) &&
-                isPrompt(path, nowMs) &&
-                share(path, tokens) <= FILL_SHARE
-        }
+        pathsByService.values.flatten()
+            .any { it.home != home && it.crossings == 0 && takes(it, tokens, nowMs) }
 
     /** Notes that a send takes [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long, nowMs: Long): PathUse {
@@ -130,6 +122,9 @@
     private fun List<ServingPath>.straight(): List<ServingPath> =
         filter { it.crossings == 0 }.ifEmpty { this }
 
+    private fun takes(path: ServingPath, tokens: Long, nowMs: Long): Boolean =
+        isAccepting(path, nowMs) && isPrompt(path, nowMs) && share(path, tokens) <= FILL_SHARE
+
     private fun isAccepting(path: ServingPath, nowMs: Long): Boolean =
         rejections[path.home]?.isOver(nowMs) ?: true
 
