--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/AnswerReader.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/AnswerReader.kt
@@ -47,6 +47,10 @@
         }
     }
 
+    /** What is known of the end of the request, for a log line. */
+    fun describe(failure: PeerResult?): String =
+        "status $status, ${tokenTimes.size} tokens, error $error, call $failure"
+
     // A model's answer can be asked for again; whether a plain call ran matters.
     private fun broken() = if (isModel) RequestOutcome.FAILED else RequestOutcome.UNKNOWN
 
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestListener.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/RequestListener.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.cli.load
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.atomic.AtomicBoolean
 import org.jacinthlink.runtime.http.LineListener
 import org.jacinthlink.runtime.http.PeerResult
@@ -24,6 +25,11 @@
     private fun finish(failure: PeerResult?) {
         if (!finished.compareAndSet(false, true)) return
         val outcome = reader.outcome(failure)
+        if (outcome !in EXPECTED) {
+            logger.warn {
+                "${request.stream.name}-${request.number} $outcome: ${reader.describe(failure)}"
+            }
+        }
         val wrong = outcome == RequestOutcome.ANSWERED && isWrong()
         onFinished(FinishedRequest(request, outcome, nowUs(), reader.tokenTimesUs, wrong))
     }
@@ -32,4 +38,9 @@
         request.stream.model != null &&
             request.stream.verifyLayerCount != null &&
             reader.answer != referenceTokens(request).joinToString("")
+
+    private companion object {
+        val EXPECTED = setOf(RequestOutcome.ANSWERED, RequestOutcome.REFUSED_NOT_RUN)
+        val logger = KotlinLogging.logger {}
+    }
 }
