--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/FirstEventBacklog.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/FirstEventBacklog.kt
@@ -30,26 +30,13 @@
     /** Share of the path to add to the memory taken, for the prompts that wait to be read. */
     val waitingShare: Double get() = sentAtMs.size * SHARE_FOR_PROMPT
 
-    /**
-     * True if the path answers soon enough to get another request.
-     *
-     * Load pattern: all instances start at once, and all callers come back within a few ms. No send
-     * is old yet, so the number of sends of all [instanceCount] instances together is bound too.
-     */
-    fun acceptsMore(nowMs: Long, instanceCount: Int): Boolean =
-        ageMs(nowMs) <= MAX_AGE_MS &&
-            sentAtMs.size < (MAX_SENDS / instanceCount).coerceAtLeast(MIN_SENDS)
+    /** True if the path answers soon enough to get another request. */
+    fun acceptsMore(nowMs: Long): Boolean = ageMs(nowMs) <= MAX_AGE_MS
 
     private companion object {
         /** First events come after 45 ms at the median and 125 ms for 99 in 100 of a calm day. */
         const val MAX_AGE_MS = 200L
 
-        /** An engine reads a prompt in some 8 ms, so the last of these begins after 250 ms. */
-        const val MAX_SENDS = 32
-
-        /** One class may be read while another arrives. */
-        const val MIN_SENDS = 2
-
         /** Three more prompts that wait outweigh a sixth of the memory. */
         const val SHARE_FOR_PROMPT = 0.05
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -48,7 +48,7 @@
     private val metrics = RouterMetrics()
     private val store = StoreClient(loop, http, settings.store.toAddress())
     private val engines = EngineClient(loop, http)
-    private val paths: PathBook by lazy { PathBook(log, servers, { paces.slow }, ::routerCount) }
+    private val paths: PathBook by lazy { PathBook(log, servers) { paces.slow } }
     private val servers: ServerDirectory = ServerDirectory(log, clockMs) { paths.invalidate() }
     private val configuration = ConfigurationBelief(log, ::configurationChanged)
     private val probe = EngineProbe(loop, engines, clockMs)
@@ -78,7 +78,7 @@
         with(settings.retryBudget) { retryLedger(windowMs, ratio, extra) }
     private val guard = PathGuard(log, configuration, servers, faults, paths, ledger)
     private val streams = guard.streams
-    private val admission = StreamAdmission(paths, faults, ::routerCount, clockMs)
+    private val admission = StreamAdmission(paths, faults, { peers.alive.size + 1 }, clockMs)
     private val context =
         RelayContext(
             loop, http, log, servers, faults, paths, admission, ledger, metrics, clockMs
@@ -212,8 +212,6 @@
         ledger.onNews(peers.sends(settings.retryBudget.windowMs), peers.knownCount, clockMs())
     }
 
-    private fun routerCount(): Int = peers.alive.size + 1
-
     private fun storeAgeMs(): Long? {
         val confirmedAtMs = operatorWatch.confirmedAtMs ?: return null
         val serversAtMs = serverWatch.confirmedAtMs ?: return null
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -21,8 +21,7 @@
 internal class PathBook(
     private val log: DecisionLog,
     private val servers: ServerDirectory,
-    private val slow: () -> Set<String>,
-    private val routerCount: () -> Int
+    private val slow: () -> Set<String>
 ) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
@@ -130,7 +129,7 @@
         rejections[path.home]?.isOver(nowMs) ?: true
 
     private fun isPrompt(path: ServingPath, nowMs: Long): Boolean =
-        backlogs[path.home]?.acceptsMore(nowMs, routerCount()) ?: true
+        backlogs[path.home]?.acceptsMore(nowMs) ?: true
 
     private fun backlog(home: String): FirstEventBacklog<PathUse> =
         backlogs.getOrPut(home) { firstEventBacklog() }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -32,7 +32,7 @@
                 stream.priority,
                 stream.tokens,
                 stream.arrivedAtMs,
-                if (stream.isResumed) ALREADY_LATE_MS else stream.targetMs
+                stream.targetMs
             )
         when (val decision = queue.room.offer(request, nowMs, usualTokensPerMs(service))) {
             WaitDecision.Waits -> Unit
@@ -78,8 +78,6 @@
     }
 
     private companion object {
-        /** A stream that its caller resumes has paused for too long; others may still be on time. */
-        const val ALREADY_LATE_MS = 0L
         const val RETRY_AFTER_MS = 1_000L
 
         /** From the send of a stream of usual length to its end. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -53,9 +53,6 @@
     /** When the request arrived. */
     val arrivedAtMs: Long get() = job.startedAtMs
 
-    /** True if the caller has got a part of the answer before. */
-    val isResumed: Boolean = job.info.lastEventId != null
-
     /** Time within which the first event is on time. */
     val targetMs: Long get() = job.route.targetLatencyMs
 
