--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.decision.paths.firstEventBacklog
 import org.jacinthlink.decision.paths.growingPause
+import org.jacinthlink.decision.paths.helpsOut
 import org.jacinthlink.decision.paths.planPaths
 import org.jacinthlink.decision.paths.shareTaken
 import org.jacinthlink.decision.paths.usableTokens
@@ -67,7 +68,7 @@
         mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
-        val taking = all.filter { takes(it, tokens, nowMs) }.straight()
+        val taking = all.taking(tokens, nowMs)
         if (taking.isNotEmpty()) return taking.minByOrNull { burden(it, tokens) }
         val straight = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }.straight()
         val prompt = straight.filter { isPrompt(it, nowMs) }
@@ -81,7 +82,7 @@
         failed: Set<String>,
         tokens: Long,
         nowMs: Long
-    ): Boolean = paths(service, failed).any { takes(it, tokens, nowMs) }
+    ): Boolean = paths(service, failed).taking(tokens, nowMs).isNotEmpty()
 
     /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
     fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
@@ -122,6 +123,14 @@
     private fun List<ServingPath>.straight(): List<ServingPath> =
         filter { it.crossings == 0 }.ifEmpty { this }
 
+    /** Those that take a request; paths that cross zones only beside no other, or to help out. */
+    private fun List<ServingPath>.taking(tokens: Long, nowMs: Long): List<ServingPath> {
+        val allCross = all { it.crossings > 0 }
+        return filter { allCross || it.crossings == 0 || it.helpsOut }
+            .filter { takes(it, tokens, nowMs) }
+            .straight()
+    }
+
     private fun takes(path: ServingPath, tokens: Long, nowMs: Long): Boolean =
         isAccepting(path, nowMs) && isPrompt(path, nowMs) && share(path, tokens) <= FILL_SHARE
 
