Tell the peers of changed layers only, a few peers at a time

Reports and first events stood behind it, so living servers were taken as silent, streams left them, and each such mark sent the news again. Change: only layers that a router itself has found changed are told, and at most eight peers get the news at the same time.

--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -77,7 +77,7 @@
         val nowMs = clockMs()
         news.layers.forEach {
             val layers = LayerRange(it.from, it.to).takeIf { range -> range.size > 0 }
-            beliefs.servers.learnLayers(it.instanceId, it.bornAtMs, layers, nowMs - it.ageMs)
+            beliefs.servers.hearLayers(it.instanceId, it.bornAtMs, layers, nowMs - it.ageMs)
         }
         if (news.dutyToken != null && lease.fencingToken == null) followHolder(news)
         news.failed.filter { !beliefs.faults.isFailed(it) }.forEach { address ->
@@ -103,7 +103,7 @@
     }
 
     private fun layerNews(nowMs: Long): List<LayerNews> =
-        beliefs.servers.learntSince(nowMs - LAYER_NEWS_MS).map { (server, atMs) ->
+        beliefs.servers.changedSince(nowMs - LAYER_NEWS_MS).map { (server, atMs) ->
             LayerNews(
                 server.instanceId,
                 server.bornAtMs,
@@ -120,7 +120,7 @@
         LayerChange(from?.let { LayerRange(it, to ?: it) }, weightLayers)
 
     private companion object {
-        /** Layers that were learnt within this time are told to the peers. */
+        /** Layers that were found changed within this time are told to the peers. */
         const val LAYER_NEWS_MS = 3_000L
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -21,6 +21,7 @@
     private val servers = LinkedHashMap<String, BackendServer>()
     private val missingSinceMs = HashMap<String, Long>()
     private val learntAtMs = HashMap<String, Long>()
+    private val foundAtMs = HashMap<String, Long>()
     private var changes = emptyMap<String, LayerChange>()
     private var readyAddresses = emptySet<String>()
 
@@ -69,9 +70,9 @@
         changed()
     }
 
-    /** Servers whose layers were learnt from themselves since [sinceMs], and when. */
-    fun learntSince(sinceMs: Long): Map<BackendServer, Long> =
-        learntAtMs.filterValues { it >= sinceMs }
+    /** Servers whose layers this process has found changed since [sinceMs], and when. */
+    fun changedSince(sinceMs: Long): Map<BackendServer, Long> =
+        foundAtMs.filterValues { it >= sinceMs }
             .mapNotNull { (id, atMs) -> servers[id]?.let { it to atMs } }
             .toMap()
 
@@ -83,16 +84,29 @@
         changed()
     }
 
-    /** Takes what a server itself said of its layers at [saidAtMs], if that is newer. */
+    /** Takes what a server itself told this process of its layers at [saidAtMs], if it is newer. */
     fun learnLayers(instanceId: String, bornAtMs: Long, layers: LayerRange?, saidAtMs: Long) {
-        val known = servers[instanceId] ?: return
+        if (takeLayers(instanceId, bornAtMs, layers, saidAtMs)) foundAtMs[instanceId] = saidAtMs
+    }
+
+    /** Takes what a server told a peer of its layers at [saidAtMs], if that is newer. */
+    fun hearLayers(instanceId: String, bornAtMs: Long, layers: LayerRange?, saidAtMs: Long) {
+        takeLayers(instanceId, bornAtMs, layers, saidAtMs)
+    }
+
+    private fun takeLayers(
+        instanceId: String,
+        bornAtMs: Long,
+        layers: LayerRange?,
+        saidAtMs: Long
+    ): Boolean {
+        val known = servers[instanceId] ?: return false
         val learntBefore = learntAtMs[instanceId] ?: Long.MIN_VALUE
-        if (bornAtMs < known.bornAtMs) return
-        if (bornAtMs == known.bornAtMs && saidAtMs < learntBefore) return
+        if (bornAtMs < known.bornAtMs) return false
+        if (bornAtMs == known.bornAtMs && saidAtMs < learntBefore) return false
         learntAtMs[instanceId] = saidAtMs
-        if (known.layers == layers && known.bornAtMs == bornAtMs) return
-        servers[instanceId] =
-            known.copy(bornAtMs = bornAtMs).holding(layers)
+        if (known.layers == layers && known.bornAtMs == bornAtMs) return false
+        servers[instanceId] = known.copy(bornAtMs = bornAtMs).holding(layers)
         log.event(
             "layers_learnt",
             "server" to instanceId,
@@ -100,6 +114,7 @@
             "age_ms" to clockMs() - saidAtMs
         )
         changed()
+        return true
     }
 
     /** Takes the layers of a [report] of [server], unless it is changing them. */
@@ -158,6 +173,7 @@
     private fun remove(instanceId: String, cause: String) {
         missingSinceMs.remove(instanceId)
         learntAtMs.remove(instanceId)
+        foundAtMs.remove(instanceId)
         val gone = servers.remove(instanceId) ?: return
         log.event(
             "server_gone",
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerExchange.kt
@@ -79,23 +79,32 @@
     }
 
     private fun sendLater() {
-        loop.schedule(periodMs) {
-            send()
+        val hosts = table.hosts
+        val someHosts = (0 until minOf(SENT_TOGETHER, hosts.size)).map { hosts[nextTurn(hosts)] }
+        // A thin link would be busy for long with the news to all peers at once.
+        loop.schedule(periodMs * someHosts.size.coerceAtLeast(1) / hosts.size.coerceAtLeast(1)) {
+            send(someHosts)
             sendLater()
         }
     }
 
-    /** Sends the news to all peers; also called between the periods when something happens. */
-    fun send() {
+    private fun nextTurn(hosts: List<String>): Int {
+        turn = (turn + 1) % hosts.size
+        return turn
+    }
+
+    /** Sends the news to all peers, between the periods, because something has happened. */
+    fun send() = send(table.hosts)
+
+    private fun send(to: List<String>) {
         table.forget(clockMs()).forEach { log.event("peer_forgotten", "peer" to it.instance) }
+        if (to.isEmpty()) return
         val hosts = table.hosts
-        if (hosts.isEmpty()) return
-        turn++
         val some = (0 until minOf(SHARED_HOSTS, hosts.size)).map { hosts[(turn + it) % hosts.size] }
         val bytes =
             ProtocolJson.encodeToString(PeerNews.serializer(), compose().copy(peers = some))
                 .toByteArray()
-        hosts.forEach { socket.send(Address(it, own.port), bytes) }
+        to.forEach { socket.send(Address(it, own.port), bytes) }
     }
 
     private fun received(bytes: ByteArray) {
@@ -120,6 +129,9 @@
         const val PERIOD_PER_PEER_MS = 20L
         const val SHARED_HOSTS = 2
 
+        /** Peers that get the same datagram at the same time. */
+        const val SENT_TOGETHER = 8
+
         /** A lost datagram or two are no sign of a holder's end. */
         const val HOLDER_SILENCE_MS = 700L
         const val HOLDER_PERIODS = 3
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -19,7 +19,7 @@
  * @property loads What the sender's requests take of the path of each zone.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
- * @property layers Layers that the sender has learnt of from engines within the last seconds.
+ * @property layers Layers that the sender has found changed at engines within the last seconds.
  * @property targets What each engine is meant to hold, from the holder of the duty.
  * @property changes Orders that engines are carrying out, from the holder of the duty.
  * @property peers Hosts of some other routers.
--- a/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
@@ -84,6 +84,16 @@
                 server.layers shouldBe LayerRange(0, 5)
             }
 
+            // Guards against news that fill the links of all routers, when each tells the others
+            // again what it has from them or what has not changed.
+            it("are told to the peers only when this process has found them changed") {
+                directory.hearLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.changedSince(nowMs).keys.shouldBeEmpty()
+                directory.learnLayers("b", 1, LayerRange(0, 5), nowMs)
+                directory.changedSince(nowMs).keys.map { it.instanceId } shouldBe listOf("b")
+            }
+
             // Guards against requests for which a server has no memory while it loads layers.
             it("that are being loaded take memory before they can be used") {
                 directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
