Send news of a silent server only where it was found

Cause: each router that heard of a silent server from a peer, and found it silent, told all peers again at once: 34 x 33 datagrams for one dead server. Change: only a router that found it by its own streams tells it at once; the others tell it with their next news.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -243,8 +243,8 @@
         configuration.current?.services?.get(service)?.healthPath
 
     /** The peers hear of it at once: their streams stand still as well. */
-    private fun fellSilent(address: String) {
-        peers.send()
+    private fun fellSilent(address: String, isReported: Boolean) {
+        if (!isReported) peers.send()
         streams.leaveSilent(address, clockMs())
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -98,7 +98,7 @@
             server.address in news.leaving -> beliefs.faults.checkHealth(server, cause)
             beliefs.streams.isQuiet(server.address, clockMs()) ->
                 beliefs.faults.believeSilent(server, cause)
-            else -> beliefs.faults.check(server, cause)
+            else -> beliefs.faults.check(server, cause, isReported = true)
         }
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -25,7 +25,7 @@
     private val log: DecisionLog,
     private val clockMs: () -> Long,
     private val onChanged: () -> Unit,
-    private val onSilent: (address: String) -> Unit
+    private val onSilent: (address: String, isReported: Boolean) -> Unit
 ) {
     private val faults = HashMap<String, Fault>()
     private val asking = HashSet<String>()
@@ -45,13 +45,17 @@
     /** True if the server at [address] turns requests away because it drains. */
     fun isLeaving(address: String): Boolean = faults[address]?.kind == FaultKind.LEAVING
 
-    /** Asks [server] for its state; without an answer it is taken as failed. */
-    fun check(server: BackendServer, cause: String) {
+    /**
+     * Asks [server] for its state; without an answer it is taken as failed.
+     *
+     * @param isReported True if the peers have been told already.
+     */
+    fun check(server: BackendServer, cause: String, isReported: Boolean = false) {
         if (!asking.add(server.address)) return
         probe.ask(server) { report ->
             asking.remove(server.address)
             if (report == null) {
-                mark(server.address, FaultKind.SILENT, cause)
+                mark(server.address, FaultKind.SILENT, cause, isReported)
             } else {
                 heard(server, report)
             }
@@ -60,7 +64,9 @@
 
     /** Takes the word of a peer that [server] is silent, which own streams bear out. */
     fun believeSilent(server: BackendServer, cause: String) {
-        if (!isFailed(server.address)) mark(server.address, FaultKind.SILENT, cause)
+        if (!isFailed(server.address)) {
+            mark(server.address, FaultKind.SILENT, cause, isReported = true)
+        }
     }
 
     private fun heard(server: BackendServer, report: EngineReport) {
@@ -102,7 +108,12 @@
     private fun EngineReport.isFull(): Boolean =
         usedTokenLayers >= totalTokenLayers * FULL_SHARE
 
-    private fun mark(address: String, kind: FaultKind, cause: String) {
+    private fun mark(
+        address: String,
+        kind: FaultKind,
+        cause: String,
+        isReported: Boolean = false
+    ) {
         val known = faults[address]
         if (known?.kind != kind) {
             faults[address] = Fault(known?.sinceMs ?: clockMs(), kind)
@@ -113,7 +124,7 @@
                 "cause" to cause
             )
             onChanged()
-            if (kind == FaultKind.SILENT) onSilent(address)
+            if (kind == FaultKind.SILENT) onSilent(address, isReported)
         }
         askLater(address)
     }
