--- a/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
@@ -112,8 +112,8 @@
         )
 
     private companion object {
-        /** Callers give up after two seconds without an event. */
-        const val MAX_WAIT_MS = 1_800L
+        /** Callers give up after two seconds without an event, and a full path takes 0.7 s. */
+        const val MAX_WAIT_MS = 1_300L
 
         /** From sending a request to its first event on a busy path. */
         const val FIRST_EVENT_MS = 120L
