Take servers that are silent together as a sign of this machine's delay

Change: when more than half of at least four servers that were asked together have not answered, the limit is extended, three times at most; a refused connection still counts at once.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EngineProbe.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.router.relay
 
+import kotlin.math.abs
 import org.jacinthlink.decision.fleet.BackendServer
+import org.jacinthlink.decision.paths.isOwnDelay
 import org.jacinthlink.decision.paths.probeTimeout
 import org.jacinthlink.platform.fleet.EngineClient
 import org.jacinthlink.platform.fleet.EngineReport
@@ -20,6 +22,7 @@
     private val clockMs: () -> Long
 ) {
     private val limit = probeTimeout()
+    private val recent = ArrayDeque<Question>()
 
     /** Asks [server] for a report; null if it is silent, and a report after that if it is late. */
     fun ask(server: BackendServer, onReport: (EngineReport?) -> Unit) = ask(server, 0, onReport)
@@ -30,6 +33,8 @@
 
     private fun ask(server: BackendServer, tries: Int, onReport: (EngineReport?) -> Unit) {
         val question = Question(server, tries, limit.timeoutMs, onReport)
+        recent.addLast(question)
+        while (recent.size > REMEMBERED) recent.removeFirst()
         engines.report(server, LATEST_MS) { question.answered(it) }
         loop.schedule(question.timeoutMs / SECOND_DIVISOR) { question.askAgain() }
         loop.schedule(question.timeoutMs) { question.timedOut() }
@@ -45,6 +50,7 @@
         private var open = 1
         private var isAnswered = false
         private var isOver = false
+        private var delays = 0
 
         fun askAgain() {
             if (isAnswered || isOver) return
@@ -61,14 +67,28 @@
                     isAnswered = true
                     onReport(report)
                 }
-                open == 0 && !isOver -> timedOut()
+                open == 0 && !isOver -> end()
             }
         }
 
+        private fun isOwnDelay(): Boolean {
+            val together = recent.filter { abs(it.askedAtMs - askedAtMs) <= TOGETHER_MS }
+            return isOwnDelay(together.size, together.count { !it.isAnswered })
+        }
+
         fun timedOut() {
             if (isAnswered || isOver) return
+            if (delays < MAX_DELAYS && isOwnDelay()) {
+                delays++
+                loop.schedule(timeoutMs) { timedOut() }
+            } else {
+                end()
+            }
+        }
+
+        private fun end() {
             isOver = true
-            val stoodStill = clockMs() - askedAtMs > timeoutMs + OWN_DELAY_MS
+            val stoodStill = clockMs() - askedAtMs > timeoutMs * (delays + 1) + OWN_DELAY_MS
             if (stoodStill && tries < MAX_TRIES) {
                 isAnswered = true
                 ask(server, tries + 1, onReport)
@@ -83,6 +103,11 @@
         const val SECOND_DIVISOR = 4
         const val PATIENT_MS = 500L
 
+        /** Questions of one look at a path, or of two. */
+        const val REMEMBERED = 64
+        const val TOGETHER_MS = 30L
+        const val MAX_DELAYS = 3
+
         /** Answers that come later than the longest limit say nothing. */
         const val LATEST_MS = 600L
 
