--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -14,8 +14,8 @@
  *
  * Load patterns: the start of a fleet, and a fleet that loses or gains servers under load. A group
  * that holds all layers with enough room stays as it is, because each move takes a part of it out
- * of use. Otherwise its servers share the layers anew in their present order, a newcomer in the place
- * of a lost one, with as few layers to load as a little less room allows.
+ * of use. Otherwise its servers share the layers anew in their present order, a newcomer in the
+ * place of a lost one, with as few layers to load as a little less room allows.
  */
 fun planLayout(engine: EngineProfile, servers: List<LayoutServer>): List<Placement> {
     val modelMb = engine.layerCount * engine.layerMb
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -102,8 +102,8 @@
     ): Boolean {
         val known = servers[instanceId] ?: return false
         val learntBefore = learntAtMs[instanceId] ?: Long.MIN_VALUE
-        if (bornAtMs < known.bornAtMs) return false
-        if (bornAtMs == known.bornAtMs && saidAtMs < learntBefore) return false
+        val isOlder = bornAtMs == known.bornAtMs && saidAtMs < learntBefore
+        if (bornAtMs < known.bornAtMs || isOlder) return false
         learntAtMs[instanceId] = saidAtMs
         if (known.layers == layers && known.bornAtMs == bornAtMs) return false
         servers[instanceId] = known.copy(bornAtMs = bornAtMs).holding(layers)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -12,8 +12,8 @@
  * Backend servers that are out of use until they answer or take work again.
  *
  * A silent server is asked for a report, which any living engine gives at once. A server that turns
- * requests away is asked for its health, because the store may be unable to tell that it drains, and
- * then whether it carries out an order that arrived late, which nobody expects any more.
+ * requests away is asked for its health, because the store may be unable to tell that it drains,
+ * and then whether it carries out an order that arrived late, which nobody expects any more.
  */
 internal class FaultWatch(
     private val loop: EventLoop,
