Use paths that cross zones only when there is no other again

Change: crossing paths serve only where no whole path exists, as before; what was read of the link's rate for it goes too.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
@@ -8,7 +8,6 @@
  * @property layerMb Memory of one layer's weights.
  * @property tokenBytes Memory of one token over all layers.
  * @property activationBytes Bytes that pass from one part of a path to the next for a token.
- * @property linkMbps Rate of the link between zones that all engines share; infinite if unbound.
  * @property loadS Time to load all layers into one engine.
  * @property loadsAtOnce Loads that the weight store serves side by side at full speed.
  * @property stepMs Time of one token step over all layers at pace 1.
@@ -23,7 +22,6 @@
     val layerMb: Double,
     val tokenBytes: Double,
     val activationBytes: Double,
-    val linkMbps: Double,
     val loadS: Double,
     val loadsAtOnce: Int,
     val stepMs: Double,
@@ -36,15 +34,7 @@
     /** Memory of one token in one layer, in MB. */
     val tokenLayerMb: Double get() = tokenBytes / layerCount / BYTES_PER_MB
 
-    /** Time that a usual prompt takes over the link between two zones. */
-    val crossingMs: Double
-        get() = usualPromptTokens * activationBytes * BITS_PER_BYTE / (linkMbps * BITS_PER_MS)
-
     private companion object {
-        const val BITS_PER_BYTE = 8
-
-        /** Of one Mbit/s. */
-        const val BITS_PER_MS = 1_000.0
         const val BYTES_PER_MB = 1_000_000.0
     }
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathLoad.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathLoad.kt
@@ -49,17 +49,6 @@
     return (taken + next.tokens * layers.size) / roomTokenLayers.coerceAtLeast(1).toDouble()
 }
 
-/** Longest time over the link between zones for a path that helps out. */
-private const val MAX_CROSSING_MS = 100.0
-
-/**
- * True if the path may take requests beside paths that cross less.
- *
- * Load pattern: the paths within zones are full. A thin link that all paths share would hold up
- * prompts longer than their callers wait, and it is billed by its bytes.
- */
-val ServingPath.helpsOut: Boolean get() = crossingMs <= MAX_CROSSING_MS
-
 /** Tokens of requests of [usualTokens] that the path can run at once. */
 fun ServingPath.usableTokens(usualTokens: Long): Long =
     minOf(capacityTokens, slots * usualTokens)
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -20,14 +20,12 @@
  *
  * @property home Zone that the path belongs to.
  * @property crossings Number of times that it passes from one zone to another.
- * @property crossingMs Time that a usual prompt takes over the link between zones, in all.
  * @property slots Requests that the first server takes at once.
  */
 data class ServingPath(
     val home: String,
     val parts: List<PathPart>,
     val crossings: Int,
-    val crossingMs: Double,
     val slots: Int
 ) {
     /** The server that requests are sent to. */
@@ -118,7 +116,7 @@
     parts: List<PathPart>
 ): ServingPath {
     val crossings = parts.zipWithNext().count { (a, b) -> a.server.zone != b.server.zone }
-    return ServingPath(zone, parts, crossings, crossings * engine.crossingMs, engine.slots)
+    return ServingPath(zone, parts, crossings, engine.slots)
 }
 
 private fun roomTokens(engine: EngineProfile, server: BackendServer, layers: LayerRange): Long {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -8,7 +8,6 @@
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.decision.paths.firstEventBacklog
 import org.jacinthlink.decision.paths.growingPause
-import org.jacinthlink.decision.paths.helpsOut
 import org.jacinthlink.decision.paths.planPaths
 import org.jacinthlink.decision.paths.shareTaken
 import org.jacinthlink.decision.paths.usableTokens
@@ -56,7 +55,7 @@
     /**
      * The path with the least load for a request of [tokens], or null if there is none.
      *
-     * A path that crosses zones is used when no other takes the request. A request that goes on
+     * A path that crosses zones is used only if there is no other. A request that goes on
      * ([isUrgent]) takes a path with a backlog rather than none.
      */
     fun choose(
@@ -68,12 +67,11 @@
         mayUse: (ServingPath) -> Boolean
     ): ServingPath? {
         val all = paths(service, failed).filter(mayUse)
-        val taking = all.taking(tokens, nowMs)
-        if (taking.isNotEmpty()) return taking.minByOrNull { burden(it, tokens) }
         val straight = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }.straight()
         val prompt = straight.filter { isPrompt(it, nowMs) }
         val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
-        return candidates.minByOrNull { burden(it, tokens) }
+        val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
+        return roomy.minByOrNull { burden(it, tokens) }
     }
 
     /** True if a path has room for a request of [tokens] and answers soon. */
@@ -82,7 +80,7 @@
         failed: Set<String>,
         tokens: Long,
         nowMs: Long
-    ): Boolean = paths(service, failed).taking(tokens, nowMs).isNotEmpty()
+    ): Boolean = paths(service, failed).straight().any { takes(it, tokens, nowMs) }
 
     /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
     fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
@@ -123,14 +121,6 @@
     private fun List<ServingPath>.straight(): List<ServingPath> =
         filter { it.crossings == 0 }.ifEmpty { this }
 
-    /** Those that take a request; paths that cross zones only beside no other, or to help out. */
-    private fun List<ServingPath>.taking(tokens: Long, nowMs: Long): List<ServingPath> {
-        val allCross = all { it.crossings > 0 }
-        return filter { allCross || it.crossings == 0 || it.helpsOut }
-            .filter { takes(it, tokens, nowMs) }
-            .straight()
-    }
-
     private fun takes(path: ServingPath, tokens: Long, nowMs: Long): Boolean =
         isAccepting(path, nowMs) && isPrompt(path, nowMs) && share(path, tokens) <= FILL_SHARE
 
