Count shared layers in one place, and ask for reports in one place

The counting of held layers stood in FewLoadsSplit and LayoutSteps, and the guard against asking a server twice stood in two methods of FaultWatch. Behaviour unchanged.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/BackendServer.kt
@@ -58,6 +58,10 @@
     /** True if all of [other] is inside. */
     fun contains(other: LayerRange): Boolean = from <= other.from && other.to <= to
 
+    /** Number of layers of this that lie from [from] up to [to], exclusive. */
+    fun countBetween(from: Int, to: Int): Int =
+        (minOf(this.to, to) - maxOf(this.from, from)).coerceAtLeast(0)
+
     /** Layers in both, or null if there are none. */
     fun intersection(other: LayerRange): LayerRange? =
         LayerRange(maxOf(from, other.from), minOf(to, other.to)).takeIf { it.size > 0 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
@@ -62,7 +62,7 @@
     val sizes = IntArray(costs.size)
     for (to in costs.indices) {
         for (size in 1..minOf(most, to)) {
-            val loads = size - server.heldBetween(to - size, to)
+            val loads = size - (server.held?.countBetween(to - size, to) ?: 0)
             val orderCost = if (loads > 0) ORDER_COST else 0.0
             val cost = former.costs[to - size] + loads + orderCost + fillCost * size * size
             if (cost < costs[to]) {
@@ -73,6 +73,3 @@
     }
     return SplitRow(costs, sizes)
 }
-
-private fun LayoutServer.heldBetween(from: Int, to: Int): Int =
-    held?.let { minOf(it.to, to) - maxOf(it.from, from) }?.coerceAtLeast(0) ?: 0
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutSteps.kt
@@ -118,7 +118,7 @@
 
 private fun List<LayoutState>.layersToLoad(): Int = sumOf { state ->
     val wanted = state.wanted ?: return@sumOf 0
-    (wanted.from until wanted.to).count { !state.holds(it) }
+    wanted.size - (state.held?.countBetween(wanted.from, wanted.to) ?: 0)
 }
 
 /** True if the server keeps all that it holds. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -51,9 +51,7 @@
      * @param isReported True if the peers have been told already.
      */
     fun check(server: BackendServer, cause: String, isReported: Boolean = false) {
-        if (!asking.add(server.address)) return
-        probe.ask(server) { report ->
-            asking.remove(server.address)
+        askForReport(server) { report ->
             if (report == null) {
                 mark(server.address, FaultKind.SILENT, cause, isReported)
             } else {
@@ -62,6 +60,14 @@
         }
     }
 
+    private fun askForReport(server: BackendServer, onReport: (EngineReport?) -> Unit) {
+        if (!asking.add(server.address)) return
+        probe.ask(server) { report ->
+            asking.remove(server.address)
+            onReport(report)
+        }
+    }
+
     /** Takes the word of a peer that [server] is silent, which own streams bear out. */
     fun believeSilent(server: BackendServer, cause: String) {
         if (!isFailed(server.address)) {
@@ -92,9 +98,7 @@
     /** Asks [server], which is healthy but turns requests away, whether it changes its layers. */
     private fun checkChange(server: BackendServer, cause: String) {
         if (servers.isChanging(server.instanceId)) return recovered(server.address)
-        if (!asking.add(server.address)) return
-        probe.ask(server) { report ->
-            asking.remove(server.address)
+        askForReport(server) { report ->
             when {
                 report == null -> mark(server.address, FaultKind.SILENT, cause)
                 report.isChangingLayers && !report.isFull() ->
