Let several servers of a zone hold the first layers, with a path for each

Cause: a server takes 134 requests as the first of a path, and each zone had one such server.

Ruled out: too little memory (a third was used), the waiting room's order, the closing fault (the loss began at second 2).

Now a group's new chain is tried with one to six first servers, and the one that takes most requests is used. The first servers hold the same layers and divide the requests. A spare joins them when one is lost. Paths have an identity of zone and first server, by which loads, waiting prompts, pauses and silence are kept; routers tell each other loads by it.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/fleet/EngineProfile.kt
@@ -34,6 +34,13 @@
     /** Memory of one token in one layer, in MB. */
     val tokenLayerMb: Double get() = tokenBytes / layerCount / BYTES_PER_MB
 
+    /** Tokens of a request of usual size at its end, or null if that is not known. */
+    val usualTokens: Int? get() = (usualPromptTokens + usualAnswerTokens).takeIf { it > 0 }
+
+    /** Tokens of the requests of usual size that one engine takes as the first of a path. */
+    val firstServerTokens: Double
+        get() = usualTokens?.let { slots.toDouble() * it } ?: Double.POSITIVE_INFINITY
+
     private companion object {
         const val BYTES_PER_MB = 1_000_000.0
     }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/FewLoadsSplit.kt
@@ -1,6 +1,5 @@
 package org.jacinthlink.decision.layout
 
-import kotlin.math.floor
 import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
 
@@ -11,7 +10,7 @@
 private const val FILL_COST = 0.05
 
 /**
- * Splits all layers among [servers] in their order with as few layers to load as possible, so that
+ * Splits all layers among [sets] in their order with as few layers to load as possible, so that
  * each share leaves room for [roomTokens] tokens of requests.
  *
  * Load pattern: a large server of a zone is lost under load. A zone whose servers all change their
@@ -20,27 +19,27 @@
  */
 internal fun splitWithFewLoads(
     engine: EngineProfile,
-    servers: List<LayoutServer>,
+    sets: List<ReplicaSet>,
     roomTokens: Double
 ): List<Link>? {
-    val rows = servers.runningFold(firstRow(engine.layerCount)) { row, server ->
-        nextRow(row, server, engine, roomTokens)
+    val rows = sets.runningFold(firstRow(engine.layerCount)) { row, set ->
+        nextRow(row, set, engine, roomTokens)
     }
     if (rows.last().costs.last().isInfinite()) return null
     var to = engine.layerCount
-    return servers.indices.reversed().mapNotNull { i ->
+    return sets.indices.reversed().mapNotNull { i ->
         val from = to - rows[i + 1].sizes[to]
         val layers = LayerRange(from, to)
         to = from
-        Link(servers[i], layers).takeIf { layers.size > 0 }
+        Link(sets[i], layers).takeIf { layers.size > 0 }
     }.reversed()
 }
 
 /**
- * The best ways for the first servers to hold the layers up to each end.
+ * The best ways for the first sets to hold the layers up to each end.
  *
  * @property costs Least cost by end, in loaded layers.
- * @property sizes Layers of the last of these servers by end.
+ * @property sizes Layers of the last of these sets by end.
  */
 private class SplitRow(val costs: DoubleArray, val sizes: IntArray)
 
@@ -52,19 +51,18 @@
 
 private fun nextRow(
     former: SplitRow,
-    server: LayoutServer,
+    set: ReplicaSet,
     engine: EngineProfile,
     roomTokens: Double
 ): SplitRow {
-    val most = floor(server.memoryMb / (engine.layerMb + roomTokens * engine.tokenLayerMb)).toInt()
-    val fillCost = FILL_COST * engine.layerMb / server.memoryMb
+    val most = set.mostLayers(engine.layerMb, roomTokens * engine.tokenLayerMb)
     val costs = former.costs.copyOf()
     val sizes = IntArray(costs.size)
     for (to in costs.indices) {
         for (size in 1..minOf(most, to)) {
-            val loads = size - (server.held?.countBetween(to - size, to) ?: 0)
-            val orderCost = if (loads > 0) ORDER_COST else 0.0
-            val cost = former.costs[to - size] + loads + orderCost + fillCost * size * size
+            val layers = LayerRange(to - size, to)
+            val cost =
+                former.costs[layers.from] + set.servers.sumOf { costOf(it, layers, engine.layerMb) }
             if (cost < costs[to]) {
                 costs[to] = cost
                 sizes[to] = size
@@ -73,3 +71,10 @@
     }
     return SplitRow(costs, sizes)
 }
+
+private fun costOf(server: LayoutServer, layers: LayerRange, layerMb: Double): Double {
+    val loads = layers.size - (server.held?.countBetween(layers.from, layers.to) ?: 0)
+    val orderCost = if (loads > 0) ORDER_COST else 0.0
+    val fillCost = FILL_COST * layerMb / server.memoryMb * layers.size * layers.size
+    return loads + orderCost + fillCost
+}
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayerShares.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayerShares.kt
@@ -1,28 +1,27 @@
 package org.jacinthlink.decision.layout
 
-import kotlin.math.floor
 import org.jacinthlink.decision.fleet.LayerRange
 
 /**
- * Splits [range] among servers in their order, so that the tightest share has as much room for
- * requests in each layer as possible.
+ * Splits [range] among sets of replicas in their order, so that the tightest share has as much room
+ * for requests in each layer as possible.
  *
- * Layers are handed out one by one to the server with the most memory for each layer that it would
- * then hold (the method of highest averages). No share exceeds the memory of its server. Returns
- * null if all memory together does not hold the range. A server may get no layer, which is a null
- * in the list.
+ * Layers are handed out one by one to the set with the most room for requests in each layer that it
+ * would then hold (the method of highest averages). No share exceeds the memory of a server.
+ * Returns null if all memory together does not hold the range. A set may get no layer, which is a
+ * null in the list.
  */
 internal fun splitByMemory(
     range: LayerRange,
-    memoryMb: List<Double>,
+    sets: List<ReplicaSet>,
     layerMb: Double
 ): List<LayerRange?>? {
-    val most = memoryMb.map { floor(it / layerMb).toInt() }
+    val most = sets.map { it.mostLayers(layerMb) }
     if (most.sum() < range.size) return null
-    val counts = IntArray(memoryMb.size)
+    val counts = IntArray(sets.size)
     repeat(range.size) {
         val next = counts.indices.filter { counts[it] < most[it] }
-            .maxBy { memoryMb[it] / (counts[it] + 1) }
+            .maxBy { sets[it].roomMbPerLayer(counts[it] + 1, layerMb) }
         counts[next]++
     }
     var at = range.from
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -6,6 +6,9 @@
 /** A layout is kept while its tightest part has this share of the room that it could have. */
 private const val MIN_ROOM_SHARE = 0.4
 
+/** Most servers that hold the first layers of a chain; more would take memory from requests. */
+private const val MAX_FIRST_SERVERS = 6
+
 /** A layout that is mended leaves this share of the room that it could have. */
 private const val MENDED_ROOM_SHARE = 0.75
 
@@ -26,33 +29,59 @@
 
 private fun planGroup(engine: EngineProfile, group: List<LayoutServer>): List<Placement> {
     val chain = chainOf(group)
-    val spares = group.filter { server -> chain.none { it.server === server } }
-    val present = chain.map { Placement(it.server.instanceId, it.layers) }
-    val ordered = chain.withSpares(spares, engine.layerCount)
-    val ideal = splitAnew(engine, ordered) ?: return present
-    val isWhole = chain.gaps(engine.layerCount).isEmpty()
-    val isRoomy = chain.roomTokens(engine) >= ideal.roomTokens(engine) * MIN_ROOM_SHARE
-    if (isWhole && isRoomy) return present
-    val next = if (chain.isEmpty()) ideal else mended(engine, ordered, ideal)
-    return next.map { Placement(it.server.instanceId, it.layers) }
+    val ideal = bestNewChain(engine, group) ?: return chain.placements()
+    val next =
+        when {
+            chain.isEmpty() -> ideal
+            chain.isGoodEnough(engine, ideal) -> chain
+            else -> mended(engine, chain, group - chain.servers().toSet())
+        }
+    return next.withMoreFirst(engine, group - next.servers().toSet(), ideal).placements()
 }
 
+private fun List<Link>.isGoodEnough(engine: EngineProfile, ideal: List<Link>): Boolean =
+    gaps(engine.layerCount).isEmpty() &&
+        roomTokens(engine) >= ideal.roomTokens(engine) * MIN_ROOM_SHARE
+
+/**
+ * The new chain of [group] that takes most requests, or null if the model does not fit.
+ *
+ * Load pattern: a burst of short prompts. One first server takes fewer requests than the memory of
+ * a large zone has room for, so several servers hold the first layers, each of them for a part of
+ * the requests.
+ */
+private fun bestNewChain(engine: EngineProfile, group: List<LayoutServer>): List<Link>? =
+    (1..minOf(group.size, MAX_FIRST_SERVERS))
+        .mapNotNull { splitAnew(engine, newOrder(group, it)) }
+        .maxByOrNull { it.capacityTokens(engine) }
+
 private fun mended(
     engine: EngineProfile,
-    servers: List<LayoutServer>,
+    chain: List<Link>,
+    spares: List<LayoutServer>
+): List<Link> {
+    val sets = chain.withSpares(spares, engine.layerCount)
+    val even = splitAnew(engine, sets) ?: return chain
+    return splitWithFewLoads(engine, sets, even.roomTokens(engine) * MENDED_ROOM_SHARE) ?: even
+}
+
+/** Lets spares hold the first layers too, up to the number of servers that [ideal] has there. */
+private fun List<Link>.withMoreFirst(
+    engine: EngineProfile,
+    spares: List<LayoutServer>,
     ideal: List<Link>
-): List<Link> =
-    splitWithFewLoads(engine, servers, ideal.roomTokens(engine) * MENDED_ROOM_SHARE) ?: ideal
+): List<Link> {
+    val first = firstOrNull()?.takeIf { it.layers.from == 0 } ?: return this
+    val missing = ideal.first().replicas.servers.size - first.replicas.servers.size
+    val added =
+        spares.filter { ReplicaSet(listOf(it)).mostLayers(engine.layerMb) > first.layers.size }
+            .sortedWith(compareBy({ it.memoryMb }, { it.instanceId }))
+            .take(missing.coerceAtLeast(0))
+    return listOf(first.copy(replicas = ReplicaSet(first.replicas.servers + added))) + drop(1)
+}
 
-private fun splitAnew(engine: EngineProfile, servers: List<LayoutServer>): List<Link>? {
+private fun splitAnew(engine: EngineProfile, sets: List<ReplicaSet>): List<Link>? {
     val range = LayerRange(0, engine.layerCount)
-    val parts = splitByMemory(range, servers.map { it.memoryMb }, engine.layerMb) ?: return null
-    return servers.zip(parts).mapNotNull { (server, part) -> part?.let { Link(server, it) } }
+    val parts = splitByMemory(range, sets, engine.layerMb) ?: return null
+    return sets.zip(parts).mapNotNull { (set, part) -> part?.let { Link(set, it) } }
 }
-
-/** Tokens of requests that the tightest link has room for. */
-private fun List<Link>.roomTokens(engine: EngineProfile): Double =
-    minOfOrNull { link ->
-        val roomMb = link.server.memoryMb - link.layers.size * engine.layerMb
-        roomMb / (link.layers.size * engine.tokenLayerMb)
-    } ?: 0.0
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
@@ -1,20 +1,71 @@
 package org.jacinthlink.decision.layout
 
+import kotlin.math.floor
+import org.jacinthlink.decision.fleet.EngineProfile
 import org.jacinthlink.decision.fleet.LayerRange
 
-/** A server with its layers in a chain of servers that hold one copy of a model. */
-internal data class Link(val server: LayoutServer, val layers: LayerRange)
+/**
+ * Servers that hold the same layers and divide the requests among themselves.
+ *
+ * Only the first servers of a chain have replicas: a server takes a fixed number of requests as
+ * the first of a path, often fewer than the memory of its chain has room for.
+ */
+internal data class ReplicaSet(val servers: List<LayoutServer>) {
+    private val memoryMb = servers.sumOf { it.memoryMb }
+
+    /** Most layers that each of the servers can hold. */
+    fun mostLayers(layerMb: Double): Int = floor(servers.minOf { it.memoryMb } / layerMb).toInt()
+
+    /** Memory for requests in each of [layers] layers, in all servers together. */
+    fun roomMbPerLayer(layers: Int, layerMb: Double): Double =
+        memoryMb / layers - servers.size * layerMb
+
+    /** Most layers that leave [roomMb] for requests in each layer. */
+    fun mostLayers(layerMb: Double, roomMb: Double): Int =
+        minOf(mostLayers(layerMb), floor(memoryMb / (servers.size * layerMb + roomMb)).toInt())
+}
+
+/** Replicas with their layers in a chain of servers that hold one copy of a model. */
+internal data class Link(val replicas: ReplicaSet, val layers: LayerRange)
+
+/** The wishes that the servers of the links hold their layers. */
+internal fun List<Link>.placements(): List<Placement> =
+    flatMap { link -> link.replicas.servers.map { Placement(it.instanceId, link.layers) } }
+
+/** All servers of the links. */
+internal fun List<Link>.servers(): List<LayoutServer> = flatMap { it.replicas.servers }
+
+/** Tokens of requests that the tightest link has room for. */
+internal fun List<Link>.roomTokens(engine: EngineProfile): Double =
+    minOfOrNull { link ->
+        link.replicas.roomMbPerLayer(link.layers.size, engine.layerMb) / engine.tokenLayerMb
+    } ?: 0.0
+
+/** The same, or what the first servers take if that is less. */
+internal fun List<Link>.capacityTokens(engine: EngineProfile): Double {
+    val first = firstOrNull() ?: return 0.0
+    return minOf(roomTokens(engine), first.replicas.servers.size * engine.firstServerTokens)
+}
 
 /** The holders among [group] in the order of their layers, each layer with one of them. */
 internal fun chainOf(group: List<LayoutServer>): List<Link> {
     var covered = 0
-    return group.mapNotNull { server -> server.held?.let { Link(server, it) } }
-        .sortedWith(compareBy({ it.layers.from }, { it.layers.to }, { it.server.instanceId }))
-        .mapNotNull { link ->
-            val from = maxOf(link.layers.from, covered)
-            covered = maxOf(covered, link.layers.to)
-            link.copy(layers = LayerRange(from, link.layers.to)).takeIf { it.layers.size > 0 }
+    val chain = group.filter { it.held != null }
+        .sortedWith(compareBy({ it.held?.from }, { it.held?.to }, { it.instanceId }))
+        .mapNotNull { server ->
+            val held = checkNotNull(server.held)
+            val from = maxOf(held.from, covered)
+            covered = maxOf(covered, held.to)
+            Link(ReplicaSet(listOf(server)), LayerRange(from, held.to))
+                .takeIf { it.layers.size > 0 }
         }
+    return chain.withFirstReplicas(group)
+}
+
+private fun List<Link>.withFirstReplicas(group: List<LayoutServer>): List<Link> {
+    val first = firstOrNull()?.takeIf { it.layers.from == 0 } ?: return this
+    val replicas = group.filter { it.held == first.layers }.sortedBy { it.instanceId }
+    return listOf(first.copy(replicas = ReplicaSet(replicas))) + drop(1)
 }
 
 /** Layers that no link holds; [index] is the place in the chain of a new link that would. */
@@ -28,28 +79,28 @@
         .filter { it.size > 0 }
 }
 
-/**
- * The servers of the chain with [spares] where gaps are, or else in the middle.
- *
- * The largest servers of a new chain stand in its middle, where the loss of one moves the others by
- * half as much as at an end.
- */
-internal fun List<Link>.withSpares(
-    spares: List<LayoutServer>,
-    layerCount: Int
-): List<LayoutServer> {
-    if (isEmpty()) return largestInTheMiddle(spares)
+/** The replicas of the chain with [spares] where gaps are, or else in the middle. */
+internal fun List<Link>.withSpares(spares: List<LayoutServer>, layerCount: Int): List<ReplicaSet> {
     val places = gaps(layerCount).sortedByDescending { it.size }.map { it.index }
         .ifEmpty { listOf(size / 2) }
     val sparesByPlace =
         spares.sortedWith(compareBy({ -it.memoryMb }, { it.instanceId }))
             .withIndex()
-            .groupBy({ places[it.index % places.size] }, { it.value })
-    return (0..size).flatMap { sparesByPlace[it].orEmpty() + listOfNotNull(getOrNull(it)?.server) }
+            .groupBy({ places[it.index % places.size] }, { ReplicaSet(listOf(it.value)) })
+    return (0..size).flatMap {
+        sparesByPlace[it].orEmpty() + listOfNotNull(getOrNull(it)?.replicas)
+    }
 }
 
-private fun largestInTheMiddle(servers: List<LayoutServer>): List<LayoutServer> {
+/**
+ * The order of [servers] in a new chain whose first layers [firstCount] of them hold.
+ *
+ * The smallest are first, since their layers are held several times. The largest stand in the
+ * middle, where the loss of one moves the others by half as much as at an end.
+ */
+internal fun newOrder(servers: List<LayoutServer>, firstCount: Int): List<ReplicaSet> {
     val bySize = servers.sortedWith(compareBy({ it.memoryMb }, { it.instanceId }))
-    val (left, right) = bySize.withIndex().partition { it.index % 2 == 0 }
-    return left.map { it.value } + right.map { it.value }.reversed()
+    val (left, right) = bySize.drop(firstCount).withIndex().partition { it.index % 2 == 0 }
+    val others = left.map { it.value } + right.map { it.value }.reversed()
+    return listOf(ReplicaSet(bySize.take(firstCount))) + others.map { ReplicaSet(listOf(it)) }
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathLoad.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathLoad.kt
@@ -24,31 +24,43 @@
  *
  * Load patterns: a burst of short prompts, in which the slots of the first server are taken long
  * before the memory of the path; and zones that all lack layers, so that the paths of several zones
- * pass through one server and fill it together.
+ * pass through one server and fill it together. Paths of one zone share most of their servers.
  *
  * @param paths All paths, this one included.
- * @param loadOf What requests take of the path of a zone.
+ * @param loadOf What requests take of a path.
  */
 fun ServingPath.shareTaken(
     next: PathLoad,
     paths: List<ServingPath>,
-    loadOf: (home: String) -> PathLoad
+    loadOf: (PathId) -> PathLoad
+): Double =
+    maxOf(slotsTaken(next, paths, loadOf), parts.maxOf { it.shareTaken(next, paths, loadOf) })
+
+/** Share of the requests that the first server takes at once, when [next] is added to it. */
+fun ServingPath.slotsTaken(
+    next: PathLoad,
+    paths: List<ServingPath>,
+    loadOf: (PathId) -> PathLoad
 ): Double {
     val streams =
-        paths.filter { it.first.address == first.address }.sumOf { loadOf(it.home).streams }
-    val bySlots = (streams + next.streams) / slots.coerceAtLeast(1).toDouble()
-    return maxOf(bySlots, parts.maxOf { it.shareTaken(next, paths, loadOf) })
+        paths.filter { it.first.address == first.address }.sumOf { loadOf(it.id).streams }
+    return (streams + next.streams) / slots.coerceAtLeast(1).toDouble()
 }
 
 private fun PathPart.shareTaken(
     next: PathLoad,
     paths: List<ServingPath>,
-    loadOf: (home: String) -> PathLoad
+    loadOf: (PathId) -> PathLoad
 ): Double {
-    val taken = paths.sumOf { it.layersAt(server.address) * loadOf(it.home).tokens }
+    val taken = paths.sumOf { it.layersAt(server.address) * loadOf(it.id).tokens }
     return (taken + next.tokens * layers.size) / roomTokenLayers.coerceAtLeast(1).toDouble()
 }
 
-/** Tokens of requests of [usualTokens] that the path can run at once. */
-fun ServingPath.usableTokens(usualTokens: Long): Long =
-    minOf(capacityTokens, slots * usualTokens)
+/** Tokens of requests of [usualTokens] that [paths] can run at once. */
+fun usableTokens(paths: List<ServingPath>, usualTokens: Long): Long =
+    paths.groupBy { it.home }.values.sumOf { own ->
+        val byFirst = own.sumOf { minOf(it.parts.first().roomTokens, it.slots * usualTokens) }
+        minOf(byFirst, own.minOf { it.roomBehindFirst() ?: byFirst })
+    }
+
+private fun ServingPath.roomBehindFirst(): Long? = parts.drop(1).minOfOrNull { it.roomTokens }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -15,6 +15,16 @@
     val roomTokenLayers: Long get() = roomTokens * layers.size
 }
 
+/**
+ * Identity of a path, the same at all routers.
+ *
+ * @property home Zone that the path belongs to.
+ * @property first Address of the server that requests are sent to.
+ */
+data class PathId(val home: String, val first: String) {
+    override fun toString(): String = "$home/$first"
+}
+
 /**
  * Backend servers that together run every layer once, in order.
  *
@@ -31,6 +41,9 @@
     /** The server that requests are sent to. */
     val first: BackendServer get() = parts.first().server
 
+    /** Identity of the path. */
+    val id: PathId = PathId(home, first.address)
+
     /** Tokens of requests that the tightest part has room for. */
     val capacityTokens: Long = parts.minOf { it.roomTokens }
 
@@ -45,8 +58,8 @@
 private const val MAX_PARTS = 32
 
 /**
- * One path for each zone whose servers, with help from other zones where it has a gap, hold all
- * layers.
+ * The paths of each zone whose servers, with help from other zones where it has a gap, hold all
+ * layers: one for each of its servers that hold the first layers.
  *
  * @param failed Addresses that are not used.
  * @param slow Addresses that are used only where no other server holds their layers.
@@ -59,8 +72,8 @@
 ): List<ServingPath> {
     val paths = pathsWithout(engine, servers, failed)
     if (paths.none { path -> path.parts.any { it.server.address in slow } }) return paths
-    val fast = pathsWithout(engine, servers, failed + slow).associateBy { it.home }
-    return paths.map { fast[it.home] ?: it }
+    val fast = pathsWithout(engine, servers, failed + slow).groupBy { it.home }
+    return paths.groupBy { it.home }.flatMap { (home, own) -> fast[home] ?: own }
 }
 
 private fun pathsWithout(
@@ -71,24 +84,33 @@
     val usable =
         servers.filter { it.state == ServerState.READY && it.address !in avoided }
             .filter { it.usableLayers != null }
-    return usable.map { it.zone }.distinct().sorted().mapNotNull { zone ->
-        coveringParts(engine, usable, zone)?.let { servingPath(engine, zone, it) }
+    return usable.map { it.zone }.distinct().sorted().flatMap { pathsOf(engine, usable, it) }
+}
+
+private fun pathsOf(
+    engine: EngineProfile,
+    servers: List<BackendServer>,
+    zone: String
+): List<ServingPath> {
+    val firstHolders = servers.filter { 0 in it.range() }
+    val firsts =
+        firstHolders.filter { it.zone == zone }.sortedBy { it.address }
+            .ifEmpty { listOfNotNull(firstHolders.furthest()) }
+    return firsts.mapNotNull { first ->
+        coveringParts(engine, servers, zone, first)?.let { servingPath(engine, zone, it) }
     }
 }
 
 private fun coveringParts(
     engine: EngineProfile,
     servers: List<BackendServer>,
-    zone: String
+    zone: String,
+    first: BackendServer
 ): List<PathPart>? {
     val parts = mutableListOf<PathPart>()
     var at = 0
     while (at < engine.layerCount) {
-        val used = parts.map { it.server.address }.toSet()
-        val holders = servers.filter { at in it.range() && it.address !in used }
-        val next = holders.filter { it.zone == zone }.furthest()
-            ?: holders.bestForeign(parts.lastOrNull()?.server?.zone)
-            ?: return null
+        val next = if (at == 0) first else nextHolder(servers, zone, at, parts) ?: return null
         val homeFrom = servers.filter { it.zone == zone && it.range().from > at }
             .minOfOrNull { it.range().from }
         val end = if (next.zone == zone || homeFrom == null) {
@@ -104,6 +126,18 @@
     return parts
 }
 
+private fun nextHolder(
+    servers: List<BackendServer>,
+    zone: String,
+    layer: Int,
+    parts: List<PathPart>
+): BackendServer? {
+    val used = parts.map { it.server.address }.toSet()
+    val holders = servers.filter { layer in it.range() && it.address !in used }
+    return holders.filter { it.zone == zone }.furthest()
+        ?: holders.bestForeign(parts.lastOrNull()?.server?.zone)
+}
+
 private fun List<BackendServer>.furthest(): BackendServer? =
     maxWithOrNull(compareBy<BackendServer> { it.range().to }.thenByDescending { it.address })
 
--- a/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/layout/LayoutPolicySpec.kt
@@ -59,6 +59,53 @@
             }
         }
 
+        describe("a burst of short prompts on zones with much memory") {
+            val quickEngine = engine.copy(usualPromptTokens = 300, usualAnswerTokens = 60)
+
+            fun load(servers: List<LayoutServer>) = servers.map { server ->
+                val wish = planLayout(quickEngine, servers)
+                    .firstOrNull { it.instanceId == server.instanceId }
+                server.copy(held = wish?.layers)
+            }
+
+            fun List<LayoutServer>.firsts() = filter { it.held?.from == 0 }
+
+            fun List<LayoutServer>.roomTokens(): Double =
+                groupBy { it.held }.minOf { (held, servers) ->
+                    val layers = checkNotNull(held)
+                    val roomMb = servers.sumOf { it.memoryMb - layers.size * engine.layerMb }
+                    roomMb / (layers.size * engine.tokenLayerMb)
+                }
+
+            // Guards against requests that wait for the slots of one first server while most of
+            // the memory is free: 402 streams on the 58 engines of ubcls-router-grown, a third.
+            it("finds first servers for half of what the memory has room for") {
+                load(emptyFleet()).groupBy { it.zone }.values.forEach { zone ->
+                    val slotTokens = zone.firsts().size * engine.slots * 360.0
+                    val memoryMb = zone.sumOf { it.memoryMb } - engine.layerCount * engine.layerMb
+                    val most = memoryMb / (engine.layerCount * engine.tokenLayerMb)
+                    (minOf(slotTokens, zone.roomTokens()) >= most * 0.5) shouldBe true
+                    zone.firsts().map { it.held }.toSet().size shouldBe 1
+                    zone.fit() shouldBe true
+                }
+            }
+
+            it("keeps a zone as it is when one of its first servers is lost") {
+                val loaded = load(emptyFleet())
+                val rest = loaded - loaded.first { it.held?.from == 0 }
+                load(rest).map { it.held } shouldBe rest.map { it.held }
+            }
+
+            // Guards against a zone that takes fewer requests for good after such a loss.
+            it("lets a server that comes later hold the first layers in its place") {
+                val loaded = load(emptyFleet())
+                val lost = loaded.first { it.held?.from == 0 }
+                val newcomer = lost.copy(instanceId = "newcomer", held = null)
+                val mended = load(loaded - lost + newcomer)
+                mended.first { it.instanceId == "newcomer" }.held shouldBe lost.held
+            }
+        }
+
         describe("a fleet that loses a server") {
             val loaded = emptyFleet().let { it.after(planLayout(engine, it)) }
 
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathLoadSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathLoadSpec.kt
@@ -33,8 +33,8 @@
             }
 
             it("runs no more tokens at once than its slots hold") {
-                single.usableTokens(450) shouldBe 60_300
-                single.usableTokens(2_000) shouldBe 175_000
+                usableTokens(listOf(single), 450) shouldBe 60_300
+                usableTokens(listOf(single), 2_000) shouldBe 175_000
             }
         }
 
@@ -50,7 +50,7 @@
             val paths = listOf("a", "b").map {
                 path(it, part(it, LayerRange(0, 40), 90_000), lender)
             }
-            val loads = mapOf("a" to PathLoad(23_000, 30), "b" to PathLoad(23_000, 30))
+            val loads = paths.associate { it.id to PathLoad(23_000, 30) }
 
             // Guards against requests that are turned away by a server whose other paths fill it:
             // seen in trouble-3 of ubcls-router, 399 of them at one server within 5 s.
@@ -59,4 +59,28 @@
                 share shouldBe (1.0 plusOrMinus 0.001)
             }
         }
+
+        describe("two paths of a zone that differ in their first servers") {
+            val rest = part("rest", LayerRange(5, 80), 150_000)
+            val paths = listOf("x", "y").map {
+                path("a", part(it, LayerRange(0, 5), 100_000), rest)
+            }
+            val loads = paths.associate { it.id to PathLoad(60_000, 133) }
+
+            // Guards against requests that wait in front of a full server beside one with room.
+            it("take as many requests as both first servers do") {
+                val none = paths.associate { it.id to NO_LOAD }
+                val next = PathLoad(450, 1)
+                paths[0].slotsTaken(next, paths, loads::getValue) shouldBe (1.0 plusOrMinus 0.001)
+                paths[0].slotsTaken(next, paths, none::getValue) shouldBe
+                    (1.0 / 134 plusOrMinus 0.001)
+                usableTokens(paths, 450) shouldBe 120_600
+            }
+
+            it("share the memory of the servers behind them") {
+                val share = paths[0].shareTaken(PathLoad(30_000, 1), paths, loads::getValue)
+                share shouldBe (1.0 plusOrMinus 0.001)
+                usableTokens(paths, 2_000) shouldBe 150_000
+            }
+        }
     })
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/PathPlanSpec.kt
@@ -66,6 +66,15 @@
                 tokens(loading) shouldBeLessThan tokens(free)
             }
 
+            // Guards against first servers that hold layers and get no requests.
+            it("begin at each server of a zone that holds the first layers") {
+                val other = server("a3", "a", 0, 30).copy(host = "10.0.1.1")
+                val paths = planPaths(TEST_ENGINE, zoneA + other, emptySet())
+                paths.map { it.first.instanceId }.toSet() shouldBe setOf("a1", "a3")
+                paths.map { it.layers() }.toSet() shouldBe setOf(listOf("0-30", "30-80"))
+                paths.map { it.id }.toSet().size shouldBe 2
+            }
+
             it("do not exist while a layer is held nowhere") {
                 planPaths(TEST_ENGINE, listOf(zoneA[0]), emptySet()).shouldBeEmpty()
             }
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -76,7 +76,7 @@
         )
     private val ledger =
         with(settings.retryBudget) { retryLedger(windowMs, ratio, extra) }
-    private val guard = PathGuard(log, configuration, servers, faults, paths, ledger)
+    private val guard = PathGuard(log, servers, faults, paths, ledger)
     private val streams = guard.streams
     private val admission = StreamAdmission(paths, faults, { peers.alive.size + 1 }, clockMs)
     private val context =
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterNews.kt
@@ -59,8 +59,8 @@
             failed = faults.lost.toList(),
             leaving = faults.lost.filter { faults.isLeaving(it) },
             slow = beliefs.paces.own.toList(),
-            loads = beliefs.paths.ownLoad.map { (home, load) ->
-                PathShare(home, load.tokens, load.streams)
+            loads = beliefs.paths.ownLoad.map { (id, load) ->
+                PathShare(id.home, id.first, load.tokens, load.streams)
             },
             firstSends = sends.first,
             repeats = sends.repeats,
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/PeerNews.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.jacinthlink.decision.paths.NO_LOAD
+import org.jacinthlink.decision.paths.PathId
 import org.jacinthlink.decision.paths.PathLoad
 
 /**
@@ -16,7 +17,7 @@
  * @property failed Addresses that the sender takes as failed.
  * @property leaving Those of [failed] that live but turn requests away.
  * @property slow Addresses of engines that the sender has found slow.
- * @property loads What the sender's requests take of the path of each zone.
+ * @property loads What the sender's requests take of each path.
  * @property firstSends First sends of requests within the window of the retry budget.
  * @property repeats Other sends within it.
  * @property layers Layers that the sender has found changed at engines within the last seconds.
@@ -45,14 +46,19 @@
     val peers: List<String> = emptyList()
 )
 
-/** What requests of one router take of the path of zone [home]. */
+/** What requests of one router take of the path of zone [home] that begins at [first]. */
 @Serializable
-internal data class PathShare(val home: String, val tokens: Long, val streams: Int)
+internal data class PathShare(
+    val home: String,
+    val first: String,
+    val tokens: Long,
+    val streams: Int
+)
 
-/** What the requests of [peers] together take of the path of each zone. */
-internal fun sumOfLoads(peers: List<PeerNews>): Map<String, PathLoad> =
+/** What the requests of [peers] together take of each path. */
+internal fun sumOfLoads(peers: List<PeerNews>): Map<PathId, PathLoad> =
     peers.flatMap { it.loads }
-        .groupingBy { it.home }
+        .groupingBy { PathId(it.home, it.first) }
         .fold(NO_LOAD) { sum, share -> sum + PathLoad(share.tokens, share.streams) }
 
 /** Layers of one engine, as it said [ageMs] ago; [from] equals [to] if it holds none. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -4,12 +4,14 @@
 import org.jacinthlink.decision.paths.FirstEventBacklog
 import org.jacinthlink.decision.paths.GrowingPause
 import org.jacinthlink.decision.paths.NO_LOAD
+import org.jacinthlink.decision.paths.PathId
 import org.jacinthlink.decision.paths.PathLoad
 import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.decision.paths.firstEventBacklog
 import org.jacinthlink.decision.paths.growingPause
 import org.jacinthlink.decision.paths.planPaths
 import org.jacinthlink.decision.paths.shareTaken
+import org.jacinthlink.decision.paths.slotsTaken
 import org.jacinthlink.decision.paths.usableTokens
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.beliefs.ServerDirectory
@@ -25,16 +27,16 @@
 ) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
     private val described = HashMap<String, String>()
-    private val ownLoads = HashMap<String, PathLoad>()
-    private val rejections = HashMap<String, GrowingPause>()
-    private val backlogs = HashMap<String, FirstEventBacklog<PathUse>>()
-    private var peerLoads = emptyMap<String, PathLoad>()
+    private val ownLoads = HashMap<PathId, PathLoad>()
+    private val rejections = HashMap<PathId, GrowingPause>()
+    private val backlogs = HashMap<PathId, FirstEventBacklog<PathUse>>()
+    private var peerLoads = emptyMap<PathId, PathLoad>()
 
-    /** What this process's requests take of the path of each zone. */
-    val ownLoad: Map<String, PathLoad> get() = ownLoads.toMap()
+    /** What this process's requests take of each path. */
+    val ownLoad: Map<PathId, PathLoad> get() = ownLoads.filterValues { it != NO_LOAD }
 
-    /** Takes what the requests of all peers together take of the path of each zone. */
-    fun notePeers(loads: Map<String, PathLoad>) {
+    /** Takes what the requests of all peers together take of each path. */
+    fun notePeers(loads: Map<PathId, PathLoad>) {
         peerLoads = loads
     }
 
@@ -71,7 +73,7 @@
         val prompt = straight.filter { isPrompt(it, nowMs) }
         val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
         val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
-        return roomy.minByOrNull { burden(it, tokens) }
+        return roomy.minWithOrNull(compareBy({ burden(it, tokens) }, { slotsTaken(it) }))
     }
 
     /** True if a path has room for a request of [tokens] and answers soon. */
@@ -84,37 +86,38 @@
 
     /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
     fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
-        paths(service, failed).sumOf { it.usableTokens(usualTokens) }
+        usableTokens(paths(service, failed), usualTokens)
 
-    /** Tokens that all routers use on the path of [home]. */
-    fun usedTokens(home: String): Long = load(home).tokens
+    /** Tokens that all routers use on the paths of [home]. */
+    fun usedTokens(home: String): Long =
+        (ownLoads.keys + peerLoads.keys).filter { it.home == home }.sumOf { load(it).tokens }
 
-    /** True if a path besides that of [home] has room for [tokens] without crossing zones. */
+    /** True if a path besides those of [home] has room for [tokens] without crossing zones. */
     fun hasOther(home: String, tokens: Long, nowMs: Long): Boolean =
         pathsByService.values.flatten()
             .any { it.home != home && it.crossings == 0 && takes(it, tokens, nowMs) }
 
     /** Notes that a send takes [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long, nowMs: Long): PathUse {
-        ownLoads.merge(path.home, PathLoad(tokens, 1), PathLoad::plus)
-        return PathUse(path, tokens).also { backlog(path.home).sent(it, nowMs) }
+        ownLoads.merge(path.id, PathLoad(tokens, 1), PathLoad::plus)
+        return PathUse(path, tokens).also { backlog(path.id).sent(it, nowMs) }
     }
 
     /** Notes that the send of [use] has brought its first event. */
     fun answered(use: PathUse) {
-        backlog(use.path.home).answered(use)
-        rejections[use.path.home]?.reset()
+        backlog(use.path.id).answered(use)
+        rejections[use.path.id]?.reset()
     }
 
     /** Notes that the send of [use] has ended. */
     fun release(use: PathUse) {
-        ownLoads.merge(use.path.home, NO_LOAD - PathLoad(use.tokens, 1), PathLoad::plus)
-        backlog(use.path.home).answered(use)
+        ownLoads.merge(use.path.id, NO_LOAD - PathLoad(use.tokens, 1), PathLoad::plus)
+        backlog(use.path.id).answered(use)
     }
 
-    /** Leaves the path of [home], which has turned a request away, alone for a while. */
-    fun rejected(home: String, nowMs: Long) {
-        rejections.getOrPut(home) { growingPause(FULL_PAUSE_MS, LAST_PAUSE_MS) }.begin(nowMs)
+    /** Leaves the path of [id], which has turned a request away, alone for a while. */
+    fun rejected(id: PathId, nowMs: Long) {
+        rejections.getOrPut(id) { growingPause(FULL_PAUSE_MS, LAST_PAUSE_MS) }.begin(nowMs)
     }
 
     /** Paths within a zone if there are any: each crossing takes the prompt over a shared link. */
@@ -125,26 +128,30 @@
         isAccepting(path, nowMs) && isPrompt(path, nowMs) && share(path, tokens) <= FILL_SHARE
 
     private fun isAccepting(path: ServingPath, nowMs: Long): Boolean =
-        rejections[path.home]?.isOver(nowMs) ?: true
+        rejections[path.id]?.isOver(nowMs) ?: true
 
     private fun isPrompt(path: ServingPath, nowMs: Long): Boolean =
-        backlogs[path.home]?.acceptsMore(nowMs) ?: true
+        backlogs[path.id]?.acceptsMore(nowMs) ?: true
 
-    private fun backlog(home: String): FirstEventBacklog<PathUse> =
-        backlogs.getOrPut(home) { firstEventBacklog() }
+    private fun backlog(id: PathId): FirstEventBacklog<PathUse> =
+        backlogs.getOrPut(id) { firstEventBacklog() }
 
-    private fun load(home: String): PathLoad =
-        (ownLoads[home] ?: NO_LOAD) + (peerLoads[home] ?: NO_LOAD)
+    private fun load(id: PathId): PathLoad = (ownLoads[id] ?: NO_LOAD) + (peerLoads[id] ?: NO_LOAD)
 
     private fun share(path: ServingPath, tokens: Long): Double =
         path.shareTaken(PathLoad(tokens, 1), pathsByService.values.flatten(), ::load)
 
+    private fun slotsTaken(path: ServingPath): Double =
+        path.slotsTaken(NO_LOAD, pathsByService.values.flatten(), ::load)
+
+    /** The paths of a zone read their prompts with the same servers, but for the first. */
     private fun burden(path: ServingPath, tokens: Long): Double =
-        share(path, tokens) + backlog(path.home).waitingShare
+        share(path, tokens) +
+            backlogs.filterKeys { it.home == path.home }.values.sumOf { it.waitingShare }
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
-            "${path.home}:${path.capacityTokens}:${path.crossings}:${path.parts.size}"
+            "${path.id}:${path.capacityTokens}:${path.crossings}:${path.parts.size}"
         }
         if (described.put(service, text) != text) {
             log.event("paths_planned", "service" to service, "paths" to text)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathGuard.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathGuard.kt
@@ -1,14 +1,13 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.retry.RetryLedger
 import org.jacinthlink.router.DecisionLog
-import org.jacinthlink.router.beliefs.ConfigurationBelief
 import org.jacinthlink.router.beliefs.ServerDirectory
 
 /** Keeps streams off paths whose servers are silent, leave or do not answer. */
 internal class PathGuard(
     log: DecisionLog,
-    private val configuration: ConfigurationBelief,
     private val servers: ServerDirectory,
     private val faults: FaultWatch,
     private val paths: PathBook,
@@ -30,11 +29,7 @@
     private fun isLeaving(address: String): Boolean =
         servers.isLeaving(address) || faults.isLeaving(address)
 
-    private fun askServers(home: String) {
-        configuration.current?.services?.values.orEmpty()
-            .flatMap { paths.paths(it, faults.failed) }
-            .filter { it.home == home }
-            .flatMap { it.parts }
-            .forEach { faults.check(it.server, "path silent") }
+    private fun askServers(path: List<BackendServer>) {
+        path.forEach { faults.check(it, "path silent") }
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.fleet.BackendServer
 import org.jacinthlink.decision.paths.GrowingPause
+import org.jacinthlink.decision.paths.PathId
 import org.jacinthlink.decision.paths.SilenceLimit
 import org.jacinthlink.decision.paths.growingPause
 import org.jacinthlink.decision.paths.silenceLimit
@@ -15,14 +17,14 @@
  */
 internal class StreamBook(
     private val log: DecisionLog,
-    private val onSilentPath: (home: String) -> Unit
+    private val onSilentPath: (servers: List<BackendServer>) -> Unit
 ) {
     private val streams = LinkedHashSet<StreamRelay>()
-    private val limits = HashMap<String, SilenceLimit>()
+    private val limits = HashMap<PathId, SilenceLimit>()
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
     private var lastMoveMs = 0L
-    private val asks = HashMap<String, GrowingPause>()
+    private val asks = HashMap<PathId, GrowingPause>()
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -60,8 +62,8 @@
             log.event("own_pause", "ms" to sinceTickMs, "streams" to streams.size)
         }
         if (nowMs < graceUntilMs || streams.isEmpty()) return
-        streams.groupBy { it.home }.forEach { (home, group) ->
-            if (home != null) check(home, group, nowMs)
+        streams.groupBy { it.path?.id }.forEach { (id, group) ->
+            if (id != null) check(id, group, nowMs)
         }
     }
 
@@ -78,7 +80,7 @@
     ) {
         if (nowMs - lastMoveMs < MOVE_PERIOD_MS) return
         val next = streams.firstOrNull { stream ->
-            val home = stream.home
+            val home = stream.path?.home
             home != null &&
                 stream.mayMove &&
                 stream.passesThrough(isLeaving) &&
@@ -96,7 +98,7 @@
     fun moveWaiting(nowMs: Long, hasOther: (home: String, tokens: Long) -> Boolean) {
         if (nowMs < graceUntilMs) return
         val next = streams.firstOrNull { stream ->
-            val home = stream.home
+            val home = stream.path?.home
             val sinceMs = stream.pendingSinceMs
             home != null &&
                 sinceMs != null &&
@@ -107,39 +109,43 @@
         next.leavePath("slow to begin")
     }
 
-    private fun check(home: String, group: List<StreamRelay>, nowMs: Long) {
+    private fun check(id: PathId, group: List<StreamRelay>, nowMs: Long) {
         val flowing = group.filter { it.isFlowing }
         val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs }
-            ?: return askIfStuck(home, group, nowMs)
-        val limit = limits.getOrPut(home) { silenceLimit() }
+            ?: return askIfStuck(id, group, nowMs)
+        val limit = limits.getOrPut(id) { silenceLimit() }
         val limitMs = limit.limitMs(lastEventMs, flowing.size, nowMs)
         if (nowMs - lastEventMs < limitMs) return
-        val ask = askPause(home)
+        val ask = askPause(id)
         if (!ask.isOver(nowMs)) return
         ask.begin(nowMs)
         log.event(
             "path_silent",
-            "path" to home,
+            "path" to id,
             "streams" to group.size,
             "flowing" to flowing.size,
             "silent_ms" to nowMs - lastEventMs,
             "limit_ms" to limitMs
         )
-        onSilentPath(home)
+        onSilentPath(group.servers())
     }
 
     /** Asks the servers of a path that has brought no event to anyone for long. */
-    private fun askIfStuck(home: String, group: List<StreamRelay>, nowMs: Long) {
+    private fun askIfStuck(id: PathId, group: List<StreamRelay>, nowMs: Long) {
         val oldestMs = group.mapNotNull { it.pendingSinceMs }.minOrNull() ?: return
-        val ask = askPause(home)
+        val ask = askPause(id)
         if (nowMs - oldestMs < STUCK_MS || !ask.isOver(nowMs)) return
         ask.begin(nowMs)
-        log.event("path_stuck", "path" to home, "pending" to group.size, "ms" to nowMs - oldestMs)
-        onSilentPath(home)
+        log.event("path_stuck", "path" to id, "pending" to group.size, "ms" to nowMs - oldestMs)
+        onSilentPath(group.servers())
     }
 
-    private fun askPause(home: String): GrowingPause =
-        asks.getOrPut(home) { growingPause(FIRST_ASK_PAUSE_MS, LAST_ASK_PAUSE_MS) }
+    private fun askPause(id: PathId): GrowingPause =
+        asks.getOrPut(id) { growingPause(FIRST_ASK_PAUSE_MS, LAST_ASK_PAUSE_MS) }
+
+    private fun List<StreamRelay>.servers(): List<BackendServer> =
+        mapNotNull { it.path }.distinct().flatMap { it.parts }.map { it.server }
+            .distinctBy { it.address }
 
     companion object {
         /** Period of [tick]. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
@@ -15,7 +15,7 @@
             "sent",
             "request" to job.id,
             "route" to job.route.name,
-            "path" to path.home,
+            "path" to path.id,
             "server" to path.first.instanceId,
             "cause" to cause,
             "send" to number,
@@ -31,7 +31,7 @@
         context.log.event(
             "not_run",
             "request" to job.id,
-            "path" to send.path.home,
+            "path" to send.path.id,
             "status" to send.info.status,
             "at" to send.info.faultyServer,
             "age_ms" to context.clockMs() - send.startedAtMs
@@ -43,7 +43,7 @@
         context.log.event(
             "send_failed",
             "request" to job.id,
-            "path" to send.path.home,
+            "path" to send.path.id,
             "cause" to cause,
             "events" to answer.eventCount,
             "silent_ms" to context.clockMs() - send.lastSignAtMs
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -24,8 +24,8 @@
     private var retry: Timer? = null
     private var isDone = false
 
-    /** Zone of the path in use, or null. */
-    val home: String? get() = send?.path?.home
+    /** The path in use, or null. */
+    val path: ServingPath? get() = send?.path
 
     /** When the path last gave a sign of life for this stream. */
     val lastSignAtMs: Long get() = send?.lastSignAtMs ?: job.startedAtMs
@@ -141,7 +141,7 @@
         current.call?.cancel()
         ended(current)
         lines.notRun(current)
-        context.paths.rejected(current.path.home, context.clockMs())
+        context.paths.rejected(current.path.id, context.clockMs())
         current.info.faultyServer?.let { address ->
             context.servers.at(address)?.let { named(it, current.info.status) }
         }
