Look at the streams of a zone together for silence, and believe a peer with one stream

Cause: since a zone has several paths, each router has one or two streams on each of them, for which a pause of 120 ms was awaited before servers were asked; and a peer's word of a silent server was believed only with three standing streams.

Now a pure watch looks at all streams of a zone first and at each path while the zone has events, and one stream that has stood still for 110 ms bears a peer out. Requests that wait for their first event no longer count against it.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
@@ -3,6 +3,15 @@
 /** Fewer servers may well be silent together. */
 private const val SEVERAL = 4
 
+/** Streams of which one at least has an event in each pass of the engines. */
+private const val SEVERAL_STREAMS = 3
+
+/** Streams that stand still have been without an event for longer than between two events. */
+private const val STILL_MS = 65L
+
+/** The same for one or two streams, which pause while their engines read other prompts. */
+private const val LONELY_STILL_MS = 110L
+
 /**
  * True if servers that were asked together are silent because of this machine.
  *
@@ -14,3 +23,17 @@
  * @param unanswered Those of them that have not answered yet.
  */
 fun isOwnDelay(asked: Int, unanswered: Int): Boolean = asked >= SEVERAL && unanswered * 2 > asked
+
+/**
+ * True if the streams through a server bear out the word of a peer that it is silent.
+ *
+ * Load pattern: a server goes dark under load. A fleet of many routers has few streams through it
+ * in each of them, and the streams would wait for the answers to questions of every router. A peer
+ * that is late itself may be wrong, so a router without standing streams asks for itself.
+ *
+ * @param agesMs Since the last event of each of the streams.
+ */
+fun bearsOutSilence(agesMs: List<Long>): Boolean {
+    val limitMs = if (agesMs.size >= SEVERAL_STREAMS) STILL_MS else LONELY_STILL_MS
+    return agesMs.isNotEmpty() && agesMs.all { it >= limitMs }
+}
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/SharedSilenceSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/SharedSilenceSpec.kt
@@ -24,4 +24,22 @@
                 isOwnDelay(asked = 1, unanswered = 1) shouldBe false
             }
         }
+
+        describe("the word of a peer that a server is silent") {
+            // Guards against streams that wait for an answer to every router's own question: seen
+            // in trouble-1 of ubcls-router-grown, 34 routers with one or two streams each.
+            it("is borne out by one stream that stands still for long") {
+                bearsOutSilence(listOf(115L)) shouldBe true
+                bearsOutSilence(listOf(80L)) shouldBe false
+            }
+
+            it("is borne out by several streams that stand still together") {
+                bearsOutSilence(listOf(70L, 80L, 90L)) shouldBe true
+                bearsOutSilence(listOf(70L, 80L, 20L)) shouldBe false
+            }
+
+            it("is not borne out without streams") {
+                bearsOutSilence(emptyList()) shouldBe false
+            }
+        }
     })
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -1,11 +1,10 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.fleet.BackendServer
-import org.jacinthlink.decision.paths.GrowingPause
-import org.jacinthlink.decision.paths.PathId
-import org.jacinthlink.decision.paths.SilenceLimit
-import org.jacinthlink.decision.paths.growingPause
-import org.jacinthlink.decision.paths.silenceLimit
+import org.jacinthlink.decision.paths.SilentPaths
+import org.jacinthlink.decision.paths.StreamSign
+import org.jacinthlink.decision.paths.bearsOutSilence
+import org.jacinthlink.decision.paths.silenceWatch
 import org.jacinthlink.router.DecisionLog
 
 /**
@@ -20,11 +19,10 @@
     private val onSilentPath: (servers: List<BackendServer>) -> Unit
 ) {
     private val streams = LinkedHashSet<StreamRelay>()
-    private val limits = HashMap<PathId, SilenceLimit>()
+    private val silences = silenceWatch()
     private var lastTickMs: Long? = null
     private var graceUntilMs = 0L
     private var lastMoveMs = 0L
-    private val asks = HashMap<PathId, GrowingPause>()
 
     /** Number of streams under way. */
     val size: Int get() = streams.size
@@ -46,11 +44,12 @@
             .forEach { it.leavePath("server silent") }
     }
 
-    /** True if several streams pass through [address] and none has had an event lately. */
-    fun isQuiet(address: String, nowMs: Long): Boolean {
-        val passing = streams.filter { it.passesThrough { part -> part == address } }
-        return passing.size >= SEVERAL && passing.all { nowMs - it.lastSignAtMs >= STILL_MS }
-    }
+    /** True if the streams that have flowed through [address] stand still. */
+    fun isQuiet(address: String, nowMs: Long): Boolean =
+        bearsOutSilence(
+            streams.filter { it.isFlowing && it.passesThrough { part -> part == address } }
+                .map { nowMs - it.lastSignAtMs }
+        )
 
     /** Looks for silent paths; called each [TICK_MS]. */
     fun tick(nowMs: Long) {
@@ -62,9 +61,10 @@
             log.event("own_pause", "ms" to sinceTickMs, "streams" to streams.size)
         }
         if (nowMs < graceUntilMs || streams.isEmpty()) return
-        streams.groupBy { it.path?.id }.forEach { (id, group) ->
-            if (id != null) check(id, group, nowMs)
+        val signs = streams.mapNotNull { stream ->
+            stream.path?.let { StreamSign(it.id, stream.lastSignAtMs, stream.isFlowing) }
         }
+        silences.due(signs, nowMs).forEach { ask(it) }
     }
 
     /**
@@ -109,44 +109,20 @@
         next.leavePath("slow to begin")
     }
 
-    private fun check(id: PathId, group: List<StreamRelay>, nowMs: Long) {
-        val flowing = group.filter { it.isFlowing }
-        val lastEventMs = flowing.maxOfOrNull { it.lastSignAtMs }
-            ?: return askIfStuck(id, group, nowMs)
-        val limit = limits.getOrPut(id) { silenceLimit() }
-        val limitMs = limit.limitMs(lastEventMs, flowing.size, nowMs)
-        if (nowMs - lastEventMs < limitMs) return
-        val ask = askPause(id)
-        if (!ask.isOver(nowMs)) return
-        ask.begin(nowMs)
+    private fun ask(silent: SilentPaths) {
         log.event(
             "path_silent",
-            "path" to id,
-            "streams" to group.size,
-            "flowing" to flowing.size,
-            "silent_ms" to nowMs - lastEventMs,
-            "limit_ms" to limitMs
+            "path" to silent.name,
+            "streams" to silent.streams,
+            "silent_ms" to silent.silentMs,
+            "limit_ms" to silent.limitMs
+        )
+        val paths = streams.mapNotNull { it.path }.filter { it.id in silent.paths }
+        onSilentPath(
+            paths.distinct().flatMap { it.parts }.map { it.server }.distinctBy { it.address }
         )
-        onSilentPath(group.servers())
-    }
-
-    /** Asks the servers of a path that has brought no event to anyone for long. */
-    private fun askIfStuck(id: PathId, group: List<StreamRelay>, nowMs: Long) {
-        val oldestMs = group.mapNotNull { it.pendingSinceMs }.minOrNull() ?: return
-        val ask = askPause(id)
-        if (nowMs - oldestMs < STUCK_MS || !ask.isOver(nowMs)) return
-        ask.begin(nowMs)
-        log.event("path_stuck", "path" to id, "pending" to group.size, "ms" to nowMs - oldestMs)
-        onSilentPath(group.servers())
     }
 
-    private fun askPause(id: PathId): GrowingPause =
-        asks.getOrPut(id) { growingPause(FIRST_ASK_PAUSE_MS, LAST_ASK_PAUSE_MS) }
-
-    private fun List<StreamRelay>.servers(): List<BackendServer> =
-        mapNotNull { it.path }.distinct().flatMap { it.parts }.map { it.server }
-            .distinctBy { it.address }
-
     companion object {
         /** Period of [tick]. */
         const val TICK_MS = 20L
@@ -156,18 +132,7 @@
         /** A stream with a later event than this is not held up. */
         private const val QUIET_MS = 40L
 
-        /** Streams that bear a peer's word out stand still for longer than between two events. */
-        private const val STILL_MS = 65L
-        private const val SEVERAL = 3
-
-        /** A slow path looks silent again and again; servers bill each question. */
-        private const val FIRST_ASK_PAUSE_MS = 250L
-        private const val LAST_ASK_PAUSE_MS = 4_000L
-
         /** Most first events come within 125 ms, and 500 ms are on time. */
         private const val FIRST_EVENT_LIMIT_MS = 300L
-
-        /** Without any event for this time a server may be gone. */
-        private const val STUCK_MS = 700L
     }
 }
