Let a server that starts again under a new id replace the entry of its former start

The new start answered the question to that address, so the former start counted as recovered, with its old layers: the layout was planned anew, another server gave those layers up, and the zone stood without them from 10.8 to 17.2 s, in the burst at 13 s (waited in vain 59, queue full 30, status 421 25).

Ruled out: several first servers (the layout had two, one or one of them), the silence watch.

Now an entry with a later start at the same address replaces the older one; the older one is used again if the later one leaves, since a clock may have been set back.

--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -22,6 +22,9 @@
     private val missingSinceMs = HashMap<String, Long>()
     private val learntAtMs = HashMap<String, Long>()
     private val foundAtMs = HashMap<String, Long>()
+
+    /** Registered servers whose address has a later start, by instance id. */
+    private val olderStarts = HashMap<String, BackendServer>()
     private var changes = emptyMap<String, LayerChange>()
     private var readyAddresses = emptySet<String>()
 
@@ -56,7 +59,7 @@
     override fun onChange(change: StoreChange) {
         when (change) {
             is StoreChange.Written -> decode(change.item)?.let { put(it) }
-            is StoreChange.Removed -> remove(change.key.removePrefix(SERVERS_PREFIX), "removed")
+            is StoreChange.Removed -> leave(change.key.removePrefix(SERVERS_PREFIX), "removed")
         }
         changed()
     }
@@ -66,6 +69,7 @@
         seen.forEach { put(it) }
         val nowMs = clockMs()
         val seenIds = seen.map { it.instanceId }.toSet()
+        olderStarts.keys.retainAll(seenIds)
         servers.keys.filter { it !in seenIds }.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
         changed()
     }
@@ -80,7 +84,7 @@
     fun expire(nowMs: Long) {
         val gone = missingSinceMs.filterValues { nowMs - it >= MISSING_GRACE_MS }.keys
         if (gone.isEmpty()) return
-        gone.toList().forEach { remove(it, "missing") }
+        gone.toList().forEach { leave(it, "missing") }
         changed()
     }
 
@@ -146,6 +150,19 @@
     }
 
     private fun put(next: BackendServer) {
+        val others = servers.values.filter {
+            it.address == next.address && it.instanceId != next.instanceId
+        }
+        if (others.any { it.bornAtMs > next.bornAtMs }) {
+            remove(next.instanceId, "older start")
+            olderStarts[next.instanceId] = next
+            return
+        }
+        others.filter { it.bornAtMs < next.bornAtMs }.forEach {
+            remove(it.instanceId, "started again as ${next.instanceId}")
+            olderStarts[it.instanceId] = it
+        }
+        olderStarts.remove(next.instanceId)
         missingSinceMs.remove(next.instanceId)
         val known = servers[next.instanceId]
         val learntMs = learntAtMs[next.instanceId]
@@ -170,6 +187,14 @@
         }
     }
 
+    /** The clock of a machine may have been set back, so an older start may be the living one. */
+    private fun leave(instanceId: String, cause: String) {
+        val address = servers[instanceId]?.address
+        olderStarts.remove(instanceId)
+        remove(instanceId, cause)
+        olderStarts.values.filter { it.address == address }.forEach { put(it.holding(null)) }
+    }
+
     private fun remove(instanceId: String, cause: String) {
         missingSinceMs.remove(instanceId)
         learntAtMs.remove(instanceId)
--- a/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
@@ -54,6 +54,35 @@
             }
         }
 
+        describe("a server that has started again at its address under a new id") {
+            // Guards against layers that others give up, and requests that are turned away, because
+            // the former start seems to be back: seen in scale-2 of ubcls-router, where the entry
+            // of the former start stayed for 0.7 s while the store had forgotten its history.
+            it("takes the place of the former start, whose entry is still there") {
+                directory.learnLayers("a", 1, LayerRange(0, 5), nowMs)
+                directory.onChange(StoreChange.Written(item("c", "", bornAtMs = 2)))
+                known() shouldContainExactly listOf("c")
+                directory.byId("c")?.layers shouldBe null
+            }
+
+            it("stays when the entry of the former start is read again") {
+                directory.onSnapshot(listOf(item("c", "", bornAtMs = 2), item("a", "")))
+                known() shouldContainExactly listOf("c")
+            }
+        }
+
+        describe("a server whose clock was set back before it started again") {
+            // Guards against a living server that is left out for good.
+            it("is used once the entry of the former start is gone") {
+                val other = ServerDirectory(decisionLog("test"), { nowMs }) {}
+                other.onSnapshot(listOf(item("a", "", bornAtMs = 5)))
+                other.onChange(StoreChange.Written(item("b", "", bornAtMs = 3)))
+                other.all.map { it.instanceId } shouldContainExactly listOf("a")
+                other.onChange(StoreChange.Removed("servers/a", 2))
+                other.all.map { it.instanceId } shouldContainExactly listOf("b")
+            }
+        }
+
         describe("a server whose entry is removed") {
             it("is not used any more") {
                 directory.onChange(StoreChange.Removed("servers/a", 2))
