Repeat the crash of shared middle stages until a round shows a shared step

A stage has two engine slots, so the content runs alone when one of them is free; the check asked for a shared step in the only round.

Ruled out: a bystander that is blamed or lost, a third crash (both are checked in each round, and held).

Now up to five rounds are played, each with all checks of before, until one crashes a stage in a shared step; without any the test fails as before.

--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
@@ -3,7 +3,6 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
-import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import java.util.concurrent.CompletableFuture
@@ -21,6 +20,9 @@
 private const val LAYERS = 12
 private const val CRASH_WORD = "detonate"
 
+/** Rounds until one crashes a stage in a shared step; most first rounds do. */
+private const val MOST_ROUNDS = 5
+
 /** Three pipelines of two stages, so that copies of one content can run at three heads at once. */
 private fun threePipelines(): SitePlan {
     val zones = demoPlan().zones
@@ -80,6 +82,25 @@
         }
     }
 
+/** Plays one round; returns the largest number of streams in a step that crashed an engine. */
+private fun crashMiddleStages(): Int {
+    val poison = Question("please stop", maxTokens = 5, workClass = "summary")
+    val activation = referenceActivation(DEMO_MODEL, 4, poison.promptTokens)
+    return ProcessSite(slowMiddles(activation)).start().use { fleet ->
+        val bystanders = fleet.startBystanders(12)
+        val first = fleet.sendAtOnce(poison, copies = 1)
+        val codes = first + fleet.sendAtOnce(poison, copies = 4)
+        val crashed = fleet.site.stages.filter { it.engine.crashes > 0 }
+        withClue("crashes, codes $codes") {
+            crashed.sumOf { it.engine.crashes } shouldBeLessThanOrEqual 2
+        }
+        crashed.map { it.holding.firstLayer }.toSet() shouldBe setOf(4)
+        codes.toSet() shouldBe setOf(ResultCode.QUARANTINED)
+        bystanders.shouldBeWhole()
+        crashed.maxOf { fleet.process(it.name).largestCrashedStep() }
+    }
+}
+
 class PoisonSpec :
     DescribeSpec({
         describe("a request that crashes backend servers, over processes") {
@@ -97,25 +118,12 @@
                 }
             }
             // Guards against crashes behind the head that are not counted, or that are laid to the
-            // streams of the same step.
+            // streams of the same step. A stage with a free engine runs the content alone, so that
+            // a round shows nothing of shared steps; the other promises hold in each round.
             it("crashes two middle stages at most, and streams of the same steps are answered") {
-                val poison = Question("please stop", maxTokens = 5, workClass = "summary")
-                val activation = referenceActivation(DEMO_MODEL, 4, poison.promptTokens)
-                ProcessSite(slowMiddles(activation)).start().use { fleet ->
-                    val bystanders = fleet.startBystanders(12)
-                    val first = fleet.sendAtOnce(poison, copies = 1)
-                    val codes = first + fleet.sendAtOnce(poison, copies = 4)
-                    val crashed = fleet.site.stages.filter { it.engine.crashes > 0 }
-                    withClue("crashes, codes $codes") {
-                        crashed.sumOf { it.engine.crashes } shouldBeLessThanOrEqual 2
-                    }
-                    crashed.map { it.holding.firstLayer }.toSet() shouldBe setOf(4)
-                    codes.toSet() shouldBe setOf(ResultCode.QUARANTINED)
-                    crashed.maxOf {
-                        fleet.process(it.name).largestCrashedStep()
-                    } shouldBeGreaterThan
-                        1
-                    bystanders.shouldBeWhole()
+                val steps = generateSequence { crashMiddleStages() }.take(MOST_ROUNDS)
+                withClue("no round crashed a stage in a step with several streams") {
+                    steps.any { it > 1 } shouldBe true
                 }
             }
         }
