Let callers wait for room that is there already

Callers have one return, which they had used.

Ruled out: 'no configuration yet' and 'stopping' (7 refusals in all).

Now the room that paths have, divided among the routers, counts as there.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/admission/WaitingRoom.kt
@@ -49,15 +49,18 @@
      * Refused callers come back one after the other, at the rate at which room becomes free.
      *
      * @param usualTokensPerMs Rate at which full paths free room; holds until more is measured.
+     * @param freeTokens Room that paths have already; those who wait for it wait for prompts only.
      */
     fun offer(
         request: WaitingRequest<T>,
         nowMs: Long,
-        usualTokensPerMs: Double
+        usualTokensPerMs: Double,
+        freeTokens: Long = 0
     ): WaitDecision {
         val aheadTokens = waiting.filter { it.priority <= request.priority }.sumOf { it.tokens }
         val tokensPerMs = maxOf(rate(nowMs), usualTokensPerMs)
-        val waitMs = (aheadTokens + request.tokens) / tokensPerMs
+        val neededTokens = (aheadTokens + request.tokens - freeTokens).coerceAtLeast(0)
+        val waitMs = neededTokens / tokensPerMs
         if (waitMs > MAX_WAIT_MS) {
             val earliestMs = maxOf(returnAtMs, nowMs + waitMs.toLong())
             returnAtMs = earliestMs + (request.tokens / tokensPerMs).toLong()
--- a/decision/src/test/kotlin/org/jacinthlink/decision/admission/WaitingRoomSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/admission/WaitingRoomSpec.kt
@@ -51,6 +51,17 @@
                 decisions.count { it == WaitDecision.Waits } shouldBe 17
             }
 
+            // Guards against refusals while paths are empty and only read many prompts: seen after
+            // the closing fault of trouble-1 of ubcls-router, 60 at the first router that was up.
+            it("lets those wait for whom there is room already") {
+                val room = waitingRoom<String>()
+                val decisions =
+                    (1..60).map {
+                        room.offer(request("r$it", 0, 0), 0, 12.0, freeTokens = 36_000)
+                    }
+                decisions.count { it == WaitDecision.Waits } shouldBe 57
+            }
+
             // Guards against callers who are sent away together, come back together and are
             // refused again.
             it("spreads the return of those that it refuses") {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -84,9 +84,18 @@
         nowMs: Long
     ): Boolean = paths(service, failed).straight().any { takes(it, tokens, nowMs) }
 
-    /** Tokens of requests of [usualTokens] that all paths of [service] together can run. */
-    fun usableTokens(service: ServiceDefinition, failed: Set<String>, usualTokens: Long): Long =
-        usableTokens(paths(service, failed), usualTokens)
+    /** Tokens of requests of usual size that all paths of [service] together can run. */
+    fun usableTokens(service: ServiceDefinition, failed: Set<String>): Long {
+        val usualTokens = service.engine?.usualTokens ?: return 0
+        return usableTokens(paths(service, failed), usualTokens.toLong())
+    }
+
+    /** Those of them that no router uses. */
+    fun freeTokens(service: ServiceDefinition, failed: Set<String>): Long {
+        val usable = (usableTokens(service, failed) * FILL_SHARE).toLong()
+        val used = paths(service, failed).map { it.id }.distinct().sumOf { load(it).tokens }
+        return (usable - used).coerceAtLeast(0)
+    }
 
     /** Tokens that all routers use on the paths of [home]. */
     fun usedTokens(home: String): Long =
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -34,7 +34,9 @@
                 stream.arrivedAtMs,
                 stream.targetMs
             )
-        when (val decision = queue.room.offer(request, nowMs, usualTokensPerMs(service))) {
+        val decision =
+            queue.room.offer(request, nowMs, usualTokensPerMs(service), freeTokens(service))
+        when (decision) {
             WaitDecision.Waits -> Unit
             is WaitDecision.Refused -> stream.refused("queue full", decision.retryAfterMs)
         }
@@ -64,12 +66,15 @@
 
     /** What this router's share of full paths frees; before paths are known, any wait is short. */
     private fun usualTokensPerMs(service: ServiceDefinition): Double {
-        val usualTokens = service.engine?.run { usualPromptTokens + usualAnswerTokens } ?: 0
-        val usableTokens = paths.usableTokens(service, faults.failed, usualTokens.toLong())
+        val usableTokens = paths.usableTokens(service, faults.failed)
         if (usableTokens == 0L) return Double.POSITIVE_INFINITY
         return usableTokens / USUAL_STREAM_MS / routerCount()
     }
 
+    /** This router's share of the room that paths have. */
+    private fun freeTokens(service: ServiceDefinition): Long =
+        paths.freeTokens(service, faults.failed) / routerCount()
+
     private fun hasRoom(service: ServiceDefinition, tokens: Long, nowMs: Long): Boolean =
         paths.hasRoom(service, faults.failed, tokens, nowMs)
 
