Look at streams of a silent server again, and drop a server that another answers for

Now streams that have stood still for 80 ms at a server known as silent leave it at each tick, and the answer 'other instance' to an order drops the id until its entry is written again.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
@@ -12,6 +12,12 @@
 /** The same for one or two streams, which pause while their engines read other prompts. */
 private const val LONELY_STILL_MS = 110L
 
+/** A stream with a later event than this is not held up by a server that has just died. */
+private const val QUIET_MS = 40L
+
+/** A stream that flows has its events closer together than this. */
+private const val STANDING_MS = 80L
+
 /**
  * True if servers that were asked together are silent because of this machine.
  *
@@ -37,3 +43,16 @@
     val limitMs = if (agesMs.size >= SEVERAL_STREAMS) STILL_MS else LONELY_STILL_MS
     return agesMs.isNotEmpty() && agesMs.all { it >= limitMs }
 }
+
+/**
+ * True if a stream should leave its path, which passes through a server that is known to be silent.
+ *
+ * Load pattern: a server dies while events of other streams are on their way through the servers
+ * behind it. They come after the server is found silent, so the stream is looked at again later;
+ * its engines would give up after 2.5 s only. A stream that goes on shows that the server lives.
+ *
+ * @param ageMs Since the last event of the stream.
+ * @param isNews True at the moment when the server is found silent.
+ */
+fun leavesSilentServer(ageMs: Long, isNews: Boolean): Boolean =
+    ageMs >= if (isNews) QUIET_MS else STANDING_MS
--- a/decision/src/test/kotlin/org/jacinthlink/decision/paths/SharedSilenceSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/paths/SharedSilenceSpec.kt
@@ -42,4 +42,23 @@
                 bearsOutSilence(emptyList()) shouldBe false
             }
         }
+
+        describe("a stream through a server that is found silent") {
+            // Guards against streams that wait 2.6 s for their engines to give up, because an
+            // event was on its way when the server was found silent: seen in trouble-1 of
+            // ubcls-router-grown, 15 streams.
+            it("leaves later if an event came just before") {
+                leavesSilentServer(ageMs = 25, isNews = true) shouldBe false
+                leavesSilentServer(ageMs = 85, isNews = false) shouldBe true
+            }
+
+            it("leaves at once if it has had no event for a while") {
+                leavesSilentServer(ageMs = 45, isNews = true) shouldBe true
+            }
+
+            // Guards against streams that leave a living server because of one late answer.
+            it("stays while its events go on") {
+                leavesSilentServer(ageMs = 60, isNews = false) shouldBe false
+            }
+        }
     })
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -245,7 +245,7 @@
     /** The peers hear of it at once: their streams stand still as well. */
     private fun fellSilent(address: String, isReported: Boolean) {
         if (!isReported) peers.send()
-        streams.leaveSilent(address, clockMs())
+        streams.leaveSilent(address, clockMs(), isNews = true)
     }
 
     private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) = PrefixWatch(
--- a/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/beliefs/ServerDirectory.kt
@@ -74,6 +74,17 @@
         changed()
     }
 
+    /**
+     * Drops [instanceId], at whose address another server has said that it is not this one.
+     *
+     * Load pattern: a server starts again under a new id while the store is away, so that its
+     * former entry stays and its new one is not known yet.
+     */
+    fun noteReplaced(instanceId: String) {
+        leave(instanceId, "other instance at its address")
+        changed()
+    }
+
     /** Servers whose layers this process has found changed since [sinceMs], and when. */
     fun changedSince(sinceMs: Long): Map<BackendServer, Long> =
         foundAtMs.filterValues { it >= sinceMs }
--- a/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/layout/LayerOrders.kt
@@ -83,6 +83,10 @@
             when (answer) {
                 OrderAnswer.Begun, OrderAnswer.AlreadyDone -> followLater(server, order)
                 OrderAnswer.Fenced -> onFenced(server.instanceId)
+                OrderAnswer.OtherInstance -> {
+                    end(server, order)
+                    servers.noteReplaced(server.instanceId)
+                }
                 else -> {
                     orderCounts.remove(server.instanceId)
                     loop.schedule(RETRY_MS) { end(server, order) }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FaultWatch.kt
@@ -39,6 +39,9 @@
     /** Addresses of servers that leave or are silent, which the peers should know. */
     val lost: Set<String> get() = faults.filterValues { it.kind != FaultKind.CHANGING }.keys.toSet()
 
+    /** Addresses of servers that do not answer. */
+    val silent: Set<String> get() = faults.filterValues { it.kind == FaultKind.SILENT }.keys.toSet()
+
     /** True if the server at [address] does not answer. */
     fun isSilent(address: String): Boolean = faults[address]?.kind == FaultKind.SILENT
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathGuard.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathGuard.kt
@@ -19,6 +19,7 @@
     /** Looks for streams that should go on elsewhere; called each [StreamBook.TICK_MS]. */
     fun tick(nowMs: Long) {
         streams.tick(nowMs)
+        faults.silent.forEach { streams.leaveSilent(it, nowMs, isNews = false) }
         val hasOther = { home: String, tokens: Long ->
             ledger.hasSpare(nowMs) && paths.hasOther(home, tokens, nowMs)
         }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamBook.kt
@@ -4,6 +4,7 @@
 import org.jacinthlink.decision.paths.SilentPaths
 import org.jacinthlink.decision.paths.StreamSign
 import org.jacinthlink.decision.paths.bearsOutSilence
+import org.jacinthlink.decision.paths.leavesSilentServer
 import org.jacinthlink.decision.paths.silenceWatch
 import org.jacinthlink.router.DecisionLog
 
@@ -37,10 +38,14 @@
         streams.remove(stream)
     }
 
-    /** Lets the streams that pass through the silent server at [address] leave their paths. */
-    fun leaveSilent(address: String, nowMs: Long) {
+    /**
+     * Lets the streams that stand still at the silent server at [address] leave their paths.
+     *
+     * @param isNews True at the moment when the server is found silent.
+     */
+    fun leaveSilent(address: String, nowMs: Long, isNews: Boolean) {
         streams.filter { it.passesThrough { part -> part == address } }
-            .filter { nowMs - it.lastSignAtMs >= QUIET_MS }
+            .filter { leavesSilentServer(nowMs - it.lastSignAtMs, isNews) }
             .forEach { it.leavePath("server silent") }
     }
 
@@ -129,9 +134,6 @@
         private const val MOVE_PERIOD_MS = 40L
         private const val OWN_PAUSE_MS = 70L
 
-        /** A stream with a later event than this is not held up. */
-        private const val QUIET_MS = 40L
-
         /** Most first events come within 125 ms, and 500 ms are on time. */
         private const val FIRST_EVENT_LIMIT_MS = 300L
     }
--- a/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/beliefs/ServerDirectorySpec.kt
@@ -71,6 +71,17 @@
             }
         }
 
+        describe("a server at whose address another one answers") {
+            // Guards against a layout that counts on a server that is gone: seen in trouble-3 of
+            // ubcls-router, where four orders for layers 39-44 went to it within 1.2 s.
+            it("is not used until its entry is written again") {
+                directory.noteReplaced("a")
+                known() shouldContainExactly listOf("b")
+                directory.onChange(StoreChange.Written(item("a", "")))
+                known() shouldContainExactly listOf("b", "a")
+            }
+        }
+
         describe("a server whose clock was set back before it started again") {
             // Guards against a living server that is left out for good.
             it("is used once the entry of the former start is gone") {
