Play a randomized soak of the routers as processes

A seed draws about 28 overlapping faults in 10 s from outside the routers: signals, a loopback proxy before each server and on each way to the store, scripts of the stand-ins, new configurations. Checked are the promises to callers and servers, and service within 12 s of the last fault.

--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
@@ -0,0 +1,92 @@
+package org.jacinthlink.router.soak
+
+import java.io.File
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.div
+import kotlin.io.path.writeText
+import kotlin.random.Random
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.router.RouterSettings
+
+/** A router as an operating-system process that the soak starts, signals and starts again. */
+internal class RouterProcess(private val settings: RouterSettings, private val folder: Path) :
+    AutoCloseable {
+    private val file = folder / "${settings.instance}.yaml"
+
+    @Volatile
+    private var process: Process? = null
+
+    /** `IP:PORT` for callers. */
+    val clients: String get() = settings.clients
+
+    /** Starts the process unless it runs; its output goes on in the same file. */
+    fun start() {
+        if (process?.isAlive == true) return
+        file.writeText(ProtocolJson.encodeToString(RouterSettings.serializer(), settings))
+        val command =
+            listOf(File(System.getProperty("java.home"), "bin/java").path) + JVM_OPTIONS +
+                listOf("-cp", classPath(), "org.jacinthlink.router.MainKt", "--settings", "$file")
+        process =
+            ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(
+                    ProcessBuilder.Redirect.appendTo((folder / "${settings.instance}.log").toFile())
+                )
+                .start()
+    }
+
+    /** Ends the process without notice. */
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    /** Sends SIGTERM and waits for the end, for the grace time at most. */
+    fun terminate() {
+        val running = process ?: return
+        running.destroy()
+        if (!running.waitFor(settings.shutdownGraceS.toLong(), TimeUnit.SECONDS)) kill()
+    }
+
+    /** Stops the process from running. */
+    fun freeze() = signal("STOP")
+
+    /** Lets a frozen process go on. */
+    fun thaw() = signal("CONT")
+
+    override fun close() = kill()
+
+    private fun signal(name: String) {
+        val pid = process?.takeIf { it.isAlive }?.pid() ?: return
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
+    }
+
+    private companion object {
+        val JVM_OPTIONS =
+            listOf("-Xmx56m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+    }
+}
+
+/**
+ * A TCP port of [host] that is free now.
+ *
+ * It lies below the range from which the system takes ports for connections, so that none of them
+ * takes it before the process starts: seen with seed 15, whose second router could not bind.
+ */
+internal fun freePort(host: String): Int =
+    generateSequence { Random.nextInt(PORTS.first, PORTS.last) }.first { isFree(host, it) }
+
+private fun isFree(host: String, port: Int): Boolean =
+    try {
+        ServerSocket(port, 1, InetAddress.getByName(host)).close()
+        true
+    } catch (_: IOException) {
+        false
+    }
+
+private val PORTS = 20_000..32_000
+
+private fun classPath(): String =
+    System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
@@ -0,0 +1,95 @@
+package org.jacinthlink.router.soak
+
+import java.io.IOException
+import java.io.InputStream
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.net.http.HttpTimeoutException
+import java.time.Duration
+
+/** What a caller sends. */
+internal enum class CallKind(val path: String, val method: String) {
+    STREAM("/s/x", "POST"),
+    SAFE("/safe/x", "GET"),
+    UNSAFE("/once/x", "POST")
+}
+
+/**
+ * What a caller has seen of one request.
+ *
+ * @property status Status of the answer, or null if its head never came.
+ * @property isWhole True if the body came to its end.
+ * @property hasSeal True if the answer bears the signature of a server.
+ * @property isUnanswered True if nothing ended the request within the caller's patience.
+ */
+internal data class CallResult(
+    val id: String,
+    val kind: CallKind,
+    val status: Int?,
+    val isWhole: Boolean,
+    val hasSeal: Boolean,
+    val body: String,
+    val isUnanswered: Boolean
+)
+
+/** Sends requests over connections that it keeps open until they are closed. */
+internal class SoakCaller {
+    private val client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build()
+
+    /** Sends one request to the router at [address] and reads what comes. */
+    fun call(address: String, kind: CallKind, id: String): CallResult {
+        val nothing = CallResult(id, kind, null, false, false, "", isUnanswered = false)
+        return try {
+            val answer = client.send(request(address, kind, id), BODY)
+            val hasSeal = answer.headers().firstValue("Response-Seal").isPresent
+            read(answer.body(), nothing.copy(status = answer.statusCode(), hasSeal = hasSeal))
+        } catch (_: java.net.http.HttpConnectTimeoutException) {
+            nothing
+        } catch (_: HttpTimeoutException) {
+            nothing.copy(isUnanswered = true)
+        } catch (_: IOException) {
+            nothing
+        }
+    }
+
+    private fun read(body: InputStream, head: CallResult): CallResult {
+        val bytes = java.io.ByteArrayOutputStream()
+        val isWhole = try {
+            body.use { it.transferTo(bytes) }
+            true
+        } catch (_: IOException) {
+            false
+        }
+        return head.copy(isWhole = isWhole, body = bytes.toString())
+    }
+
+    private fun request(address: String, kind: CallKind, id: String): HttpRequest =
+        HttpRequest.newBuilder(URI("http://$address${kind.path}"))
+            .method(kind.method, HttpRequest.BodyPublishers.ofString("hi"))
+            .header("Host", "h.example")
+            .header("Attempt-Id", id)
+            .header("Request-Deadline", DEADLINE_MS.toString())
+            .header("Api-Key", "key")
+            .header("Token-Counts", "100,20")
+            .header("Tenant", "forged")
+            .timeout(Duration.ofMillis(PATIENCE_MS))
+            .build()
+
+    private companion object {
+        init {
+            System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
+        }
+
+        val BODY: HttpResponse.BodyHandler<InputStream> = HttpResponse.BodyHandlers.ofInputStream()
+        const val DEADLINE_MS = 3_000L
+
+        /** The deadline, the longest time for which a router is frozen, and a start. */
+        const val PATIENCE_MS = 8_000L
+    }
+}
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakChecks.kt
@@ -0,0 +1,68 @@
+package org.jacinthlink.router.soak
+
+import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.transport.valueOf
+
+/** Broken promises, in words, from what callers have seen and what servers have run. */
+internal fun brokenPromises(results: List<CallResult>, site: SoakSite): List<String> {
+    val runs = (site.engines + site.desks).flatMap { it.runs }
+    val runsById = runs.groupBy { it.request.headers.valueOf("Attempt-Id") }
+    val byCallers = results.flatMap { result ->
+        faultsOf(result, runsById[result.id].orEmpty().size).map { "$it: $result" }
+    }
+    return byCallers + runs.flatMap { run ->
+        faultsOf(run).map { "$it: ${run.request.path} ${run.request.headers}" }
+    }
+}
+
+private fun faultsOf(result: CallResult, runs: Int): List<String> =
+    listOfNotNull(
+        "no answer".takeIf { result.isUnanswered },
+        "denied".takeIf { result.status in DENIALS },
+        "run ${runs}x".takeIf { result.kind == CallKind.UNSAFE && runs > 1 },
+        "refused but run".takeIf {
+            result.kind == CallKind.UNSAFE && result.status in REFUSALS && runs > 0
+        },
+        "success without signature".takeIf { result.status == OK && !result.hasSeal },
+        "success with another body".takeIf {
+            result.status == OK &&
+                result.kind != CallKind.STREAM &&
+                result.isWhole &&
+                !result.body.startsWith("ok:")
+        },
+        "events missing, doubled or joined".takeIf {
+            result.status == OK && result.kind == CallKind.STREAM && !hasEventsInOrder(result)
+        }
+    )
+
+private fun hasEventsInOrder(result: CallResult): Boolean {
+    val ids = EVENT.findAll(result.body).map { it.groupValues[1].toInt() }.toList()
+    return ids == (1..ids.size).toList() && (!result.isWhole || ids.size == STREAM_EVENTS)
+}
+
+private fun faultsOf(run: EngineStandIn.Run): List<String> {
+    val headers = run.request.headers
+    val leftMs = headers.valueOf("Request-Deadline")?.toLongOrNull()
+    return listOfNotNull(
+        "forged workspace".takeIf { headers.valueOf("Tenant") != "shop" },
+        "key handed on".takeIf { headers.valueOf("Api-Key") != null },
+        "too much time handed on".takeIf { leftMs == null || leftMs > DEADLINE_MS },
+        "layers not once and in order".takeIf {
+            headers.valueOf("Hop-Count")?.let { path -> !coversLayers(path) } ?: false
+        }
+    )
+}
+
+private fun coversLayers(path: String): Boolean {
+    val parts = path.split(',').map { part ->
+        part.substringAfter('=').split('-').map { it.toInt() }
+    }
+    val ends = listOf(0) + parts.map { it[1] }
+    return parts.map { it[0] } == ends.dropLast(1) && ends.last() == LAYERS
+}
+
+private val EVENT = Regex("""id: (\d+)\ndata: t\d+\n\n""")
+private val DENIALS = setOf(400, 401, 403, 404)
+private val REFUSALS = setOf(408, 421, 429, 503)
+private const val OK = 200
+private const val DEADLINE_MS = 3_000L
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
@@ -0,0 +1,167 @@
+package org.jacinthlink.router.soak
+
+import kotlin.random.Random
+import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.router.standins.EngineStandIn.Script
+import org.jacinthlink.standins.ProxyDirection
+import org.jacinthlink.standins.ProxyFaults
+
+/** A fault from outside the routers, as it is listed in the report of a seed. */
+internal sealed interface SoakFault {
+    data class RouterKilled(val router: Int) : SoakFault
+
+    data class RouterFrozen(val router: Int) : SoakFault
+
+    data class RouterStopped(val router: Int) : SoakFault
+
+    data object StoreRefuses : SoakFault
+
+    data class StoreSlow(val router: Int) : SoakFault
+
+    data class StoreCutOneWay(val router: Int, val direction: ProxyDirection) : SoakFault
+
+    data class ConnectionsReset(val server: String) : SoakFault
+
+    data class ConnectionsSilent(val server: String) : SoakFault
+
+    data class ServerDark(val server: String) : SoakFault
+
+    data class ServerDelayed(val server: String) : SoakFault
+
+    data class ServerScripted(val server: String, val script: Script) : SoakFault
+
+    data class ServerDrains(val server: String) : SoakFault
+
+    data object ConfigurationWritten : SoakFault
+}
+
+/** A fault and when it begins and ends, from the start of the faults. */
+internal data class PlannedFault(val fault: SoakFault, val atMs: Long, val forMs: Long)
+
+/**
+ * The faults of a seed: several in each second, in series and overlapping.
+ *
+ * One router is never killed or stopped and one server of each kind is never touched, so that
+ * there is always a way to serve.
+ */
+internal fun planFaults(seed: Int, site: SoakSite, lengthMs: Long): List<PlannedFault> {
+    val random = Random(seed)
+    val engines = site.engines.drop(1).map { it.instanceId }
+    // Half of the faults of servers strike desks, whose calls may run once only.
+    val servers = engines + List(engines.size) { site.desks.last().instanceId }
+    return generateSequence(random.nextLong(GAP_MS)) { it + random.nextLong(GAP_MS) }
+        .takeWhile { it < lengthMs }
+        .map { atMs ->
+            val fault = randomFault(random, servers, engines, site.routers.size)
+            PlannedFault(fault, atMs, random.nextLong(MIN_LENGTH_MS, MAX_LENGTH_MS))
+        }
+        .toList()
+}
+
+private fun randomFault(
+    random: Random,
+    servers: List<String>,
+    engines: List<String>,
+    routerCount: Int
+): SoakFault {
+    val router = random.nextInt(1, routerCount)
+    return when (random.nextInt(FAULT_KINDS)) {
+        0 -> SoakFault.RouterKilled(router)
+        1 -> SoakFault.RouterFrozen(router)
+        2 -> SoakFault.RouterStopped(router)
+        3 -> SoakFault.StoreRefuses
+        4 -> SoakFault.StoreSlow(router)
+        5 -> SoakFault.StoreCutOneWay(router, ProxyDirection.entries.random(random))
+        6 -> SoakFault.ConnectionsReset(servers.random(random))
+        7 -> SoakFault.ConnectionsSilent(servers.random(random))
+        8 -> SoakFault.ServerDark(engines.random(random))
+        9 -> SoakFault.ServerDelayed(servers.random(random))
+        10 -> SoakFault.ServerDrains(servers.random(random))
+        11 -> SoakFault.ConfigurationWritten
+        else -> SoakFault.ServerScripted(servers.random(random), scripts.random(random))
+    }
+}
+
+/** Brings [planned] about for its time. */
+internal fun SoakSite.play(planned: PlannedFault) {
+    begin(planned.fault)
+    Thread.sleep(planned.forMs)
+    end(planned.fault)
+}
+
+private fun SoakSite.begin(fault: SoakFault) {
+    when (fault) {
+        is SoakFault.RouterKilled -> routers[fault.router].kill()
+        is SoakFault.RouterFrozen -> routers[fault.router].freeze()
+        is SoakFault.RouterStopped -> routers[fault.router].terminate()
+        SoakFault.StoreRefuses -> store.isDown = true
+        is SoakFault.StoreSlow -> setStoreLink(fault.router, ProxyFaults(delayMs = SLOW_STORE_MS))
+        is SoakFault.StoreCutOneWay ->
+            setStoreLink(fault.router, ProxyFaults(hold = fault.direction))
+        is SoakFault.ConnectionsReset -> proxy.cutAll(fault.server)
+        is SoakFault.ConnectionsSilent -> proxy.silenceExisting(fault.server)
+        is SoakFault.ServerDark ->
+            setDark(server(fault.server), ProxyFaults(hold = ProxyDirection.TO_CLIENT))
+        is SoakFault.ServerDelayed ->
+            proxy.setFaults(fault.server, ProxyFaults(delayMs = SLOW_SERVER_MS))
+        is SoakFault.ServerScripted -> server(fault.server).script = fault.script
+        is SoakFault.ServerDrains -> register(server(fault.server), "draining")
+        SoakFault.ConfigurationWritten -> configure()
+    }
+}
+
+private fun SoakSite.end(fault: SoakFault) {
+    when (fault) {
+        is SoakFault.RouterKilled -> routers[fault.router].start()
+        is SoakFault.RouterFrozen -> routers[fault.router].thaw()
+        is SoakFault.RouterStopped -> routers[fault.router].start()
+        SoakFault.StoreRefuses -> store.isDown = false
+        is SoakFault.StoreSlow -> setStoreLink(fault.router, ProxyFaults())
+        is SoakFault.StoreCutOneWay -> setStoreLink(fault.router, ProxyFaults())
+        is SoakFault.ConnectionsReset, is SoakFault.ConnectionsSilent -> Unit
+        is SoakFault.ServerDark -> setDark(server(fault.server), ProxyFaults())
+        is SoakFault.ServerDelayed -> proxy.setFaults(fault.server, ProxyFaults())
+        is SoakFault.ServerScripted -> server(fault.server).script = Script.Serve
+        is SoakFault.ServerDrains -> register(server(fault.server))
+        SoakFault.ConfigurationWritten -> Unit
+    }
+}
+
+/** Ends whatever faults overlapped so that one undid another's end. */
+internal fun SoakSite.heal() {
+    store.isDown = false
+    routers.forEach {
+        it.thaw()
+        it.start()
+    }
+    routers.indices.forEach { setStoreLink(it, ProxyFaults()) }
+    (engines + desks).forEach {
+        it.script = Script.Serve
+        setDark(it, ProxyFaults())
+        register(it)
+    }
+}
+
+private fun SoakSite.setStoreLink(router: Int, faults: ProxyFaults) =
+    proxy.setFaults(storeLink(router + 1), faults)
+
+private fun SoakSite.server(instanceId: String): EngineStandIn =
+    (engines + desks).first { it.instanceId == instanceId }
+
+private val scripts =
+    listOf(
+        Script.Cut(3),
+        Script.Silent(5),
+        Script.LoseAnswer,
+        Script.Fail,
+        Script.Full,
+        Script.Changing
+    )
+
+/** Pauses between faults are up to this long. */
+private const val GAP_MS = 700L
+private const val MIN_LENGTH_MS = 100L
+private const val MAX_LENGTH_MS = 2_500L
+private const val FAULT_KINDS = 14
+private const val SLOW_STORE_MS = 150.0
+private const val SLOW_SERVER_MS = 60.0
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
@@ -0,0 +1,100 @@
+package org.jacinthlink.router.soak
+
+import java.nio.file.Path
+import org.jacinthlink.router.RouterSettings
+import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.router.standins.StoreStandIn
+import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.standins.FaultProxy
+import org.jacinthlink.standins.ProxyFaults
+import org.jacinthlink.standins.ProxyListenerSettings
+import org.jacinthlink.standins.startFaultProxy
+import org.jacinthlink.transport.eventLoop
+
+/** Events of a whole stream. */
+internal const val STREAM_EVENTS = 30
+
+/** Layers of the model of the configuration. */
+internal const val LAYERS = 8
+
+/**
+ * Routers as processes before stand-ins of the store, of two zones of engines and of two desks.
+ *
+ * All connections of the routers pass through a proxy: one listener for each server, and one for
+ * the way of each router to the store.
+ */
+internal class SoakSite(folder: Path) : AutoCloseable {
+    private val loop = eventLoop("stand-ins")
+    val proxy: FaultProxy = startFaultProxy()
+    val store = StoreStandIn(loop)
+    val engines =
+        listOf("a1" to "a", "a2" to "a", "a3" to "a", "b1" to "b", "b2" to "b", "b3" to "b")
+            .map { (id, zone) -> EngineStandIn(loop, id, zone, STREAM_EVENTS, EVENT_MS) }
+    val desks = listOf("d1", "d2").map { EngineStandIn(loop, it, "a") }
+    val routers: List<RouterProcess>
+    private val dark = java.util.concurrent.ConcurrentHashMap.newKeySet<String>()
+    private var version = 1
+
+    init {
+        configure()
+        (engines + desks).forEach { server ->
+            server.entryAddress = listener(server.instanceId, server.address.toString())
+            server.passesOn = { path -> dark.none { "$it=" in path } }
+            register(server)
+        }
+        val peerPort = freePort("127.0.0.1")
+        routers = (1..ROUTERS).map { number ->
+            val host = "127.0.0.$number"
+            RouterProcess(
+                RouterSettings(
+                    instance = "r$number",
+                    availabilityZone = "a",
+                    clients = "$host:${freePort(host)}",
+                    readiness = "$host:${freePort(host)}",
+                    host = host,
+                    peerPort = peerPort,
+                    metricsPort = 0,
+                    seeds = listOf("127.0.0.1:$peerPort"),
+                    store = listener(storeLink(number), store.address.toString()),
+                    shutdownGraceS = GRACE_S
+                ),
+                folder
+            )
+        }
+        routers.forEach { it.start() }
+    }
+
+    /** Name of the proxy's listener on the way of router [number] to the store. */
+    fun storeLink(number: Int): String = "store-$number"
+
+    /** Lets [server] answer nothing and pass nothing on, or takes that back. */
+    fun setDark(server: EngineStandIn, faults: ProxyFaults) {
+        val address = checkNotNull(server.entryAddress)
+        if (faults.hold == null) dark.remove(address) else dark.add(address)
+        proxy.setFaults(server.instanceId, faults)
+    }
+
+    /** Writes the entry of [server] as the server does. */
+    fun register(server: EngineStandIn, state: String = "ready") {
+        val service = if (server in desks) "desk" else "model"
+        store.write("servers/${server.instanceId}", server.entry(service, state))
+    }
+
+    /** Writes the next configuration. */
+    fun configure() = store.write("op/config", configuration(version++))
+
+    override fun close() {
+        routers.forEach { it.close() }
+        proxy.stop()
+        loop.stop()
+    }
+
+    private fun listener(name: String, target: String): String =
+        proxy.addListener(ProxyListenerSettings(name, target))
+
+    private companion object {
+        const val ROUTERS = 3
+        const val EVENT_MS = 25L
+        const val GRACE_S = 6.0
+    }
+}
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
@@ -0,0 +1,97 @@
+package org.jacinthlink.router.soak
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import org.jacinthlink.router.standins.await
+
+/**
+ * Random faults on routers as processes, with the promises checked from outside.
+ *
+ * `-Dsoak.seeds=5,6,7` plays other seeds and `-Dsoak.seconds=30` longer ones.
+ */
+class SoakSpec :
+    DescribeSpec({
+        describe("routers as processes under random faults from outside") {
+            seeds().forEach { seed ->
+                // Guards against promises that hold under each fault alone and not under several.
+                it("keep the promises to callers and serve again afterwards, seed $seed") {
+                    val folder = Files.createDirectories(LOGS.resolve("seed-$seed"))
+                    SoakSite(folder).use { site ->
+                        site.awaitService()
+                        val faults = planFaults(seed, site, lengthMs())
+                        val results = site.playAll(faults, seed)
+                        val served = results.count { it.status == 200 && it.isWhole }
+                        val summary = "seed $seed: $served of ${results.size} served"
+                        println("soak $summary, ${faults.size} faults")
+                        withClue("$summary, logs in $folder, faults $faults") {
+                            site.awaitService()
+                            brokenPromises(results, site).shouldBeEmpty()
+                        }
+                    }
+                }
+            }
+        }
+    })
+
+private val LOGS = Path.of("target", "soak")
+
+/** Time in which service is back after the last fault. */
+private const val RECOVERY_MS = 12_000L
+private const val CALLERS = 6
+private const val CALL_PAUSE_MS = 40L
+
+private fun seeds(): List<Int> =
+    System.getProperty("soak.seeds", "1,2").split(',').map { it.trim().toInt() }
+
+private fun lengthMs(): Long = System.getProperty("soak.seconds", "10").toLong() * 1_000
+
+/** Waits until each router serves each kind of request. */
+private fun SoakSite.awaitService() {
+    val caller = SoakCaller()
+    routers.forEach { router ->
+        CallKind.entries.forEach { kind ->
+            var number = 0
+            await(RECOVERY_MS) {
+                caller.call(router.clients, kind, "check-${router.clients}-$kind-${number++}")
+                    .let { it.status == 200 && it.isWhole }
+            }
+        }
+    }
+}
+
+/** Plays [faults] while callers send, and returns what the callers have seen. */
+private fun SoakSite.playAll(faults: List<PlannedFault>, seed: Int): List<CallResult> {
+    val results = CopyOnWriteArrayList<CallResult>()
+    val startedAt = System.nanoTime()
+    val endsAt = startedAt + (lengthMs() + RECOVERY_MS / 4) * 1_000_000
+    val pool = Executors.newCachedThreadPool()
+    repeat(CALLERS) { number ->
+        pool.execute {
+            val random = Random(seed * CALLERS + number)
+            val caller = SoakCaller()
+            var count = 0
+            while (System.nanoTime() < endsAt) {
+                val router = routers.random(random)
+                val id = "$seed-$number-${count++}"
+                results.add(caller.call(router.clients, CallKind.entries.random(random), id))
+                Thread.sleep(CALL_PAUSE_MS)
+            }
+        }
+    }
+    faults.forEach { planned ->
+        val waitMs = planned.atMs - (System.nanoTime() - startedAt) / 1_000_000
+        if (waitMs > 0) Thread.sleep(waitMs)
+        pool.execute { play(planned) }
+    }
+    pool.shutdown()
+    pool.awaitTermination(1, TimeUnit.MINUTES)
+    heal()
+    return results
+}
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -60,6 +60,14 @@
     @Volatile
     var layers: LayerRange? = null
 
+    /** Address in its entry; another than [address] if connections come through a proxy. */
+    @Volatile
+    var entryAddress: String? = null
+
+    /** True while all servers of a path with this header value pass activations on. */
+    @Volatile
+    var passesOn: (path: String) -> Boolean = { true }
+
     /** Time until a report is answered. */
     @Volatile
     var reportDelayMs = 0L
@@ -81,13 +89,15 @@
 
     val address: Address get() = Address("127.0.0.1", listener.port)
 
+    private val ownAddress: String get() = entryAddress ?: address.toString()
+
     /** Stops at once. */
     fun stop() = listener.stop()
 
     /** The entry that it keeps in the store. */
     fun entry(service: String, state: String = "ready"): String {
         val held = layers?.let { ""","layers":{"from":${it.from},"to":${it.to},"version":1}""" }
-        return """{"service":"$service","address":"$address","zone":"$zone","state":"$state",
+        return """{"service":"$service","address":"$ownAddress","zone":"$zone","state":"$state",
             "slots":134,"kind":"card","sequence":1,"born":1${held.orEmpty()}}"""
     }
 
@@ -139,7 +149,7 @@
         if (script == Script.Full || script == Script.Changing) {
             rejected.incrementAndGet()
             val notRun = HeaderField("Not-Executed", "1")
-            val at = HeaderField("At-Server", address.toString())
+            val at = HeaderField("At-Server", ownAddress)
             return exchange.respond(503, listOf(notRun, at), ByteArray(0))
         }
         runs.add(Run(request))
@@ -155,13 +165,14 @@
     private fun stream(request: ServerRequest, exchange: ServerExchange) {
         val last = request.headers.valueOf("Last-Event-Id")?.toInt() ?: 0
         exchange.startStream(200, headers(request))
-        event(exchange, last + 1, sent = 0)
+        event(exchange, request.headers.valueOf("Hop-Count").orEmpty(), last + 1, sent = 0)
     }
 
-    private fun event(exchange: ServerExchange, id: Int, sent: Int) {
+    private fun event(exchange: ServerExchange, path: String, id: Int, sent: Int) {
         loop.schedule(eventMs) {
             val now = script
             when {
+                !passesOn(path) -> loop.schedule(STALL_MS) { exchange.abort() }
                 now is Script.Cut && sent == now.events -> {
                     exchange.write("id: $id\nda".toByteArray())
                     exchange.abort()
@@ -170,7 +181,7 @@
                 id > eventCount -> exchange.endStream()
                 else -> {
                     exchange.write("id: $id\ndata: t$id\n\n".toByteArray())
-                    event(exchange, id + 1, sent + 1)
+                    event(exchange, path, id + 1, sent + 1)
                 }
             }
         }
@@ -181,4 +192,9 @@
             HeaderField("Attempt-Id", request.headers.valueOf("Attempt-Id").orEmpty()),
             HeaderField("Response-Seal", "seal-$instanceId")
         )
+
+    private companion object {
+        /** An engine gives a request up whose path has stood still for this time. */
+        const val STALL_MS = 2_500L
+    }
 }
