--- a/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
+++ b/processtests/src/test/kotlin/org/jacinthlink/processtests/PoisonSpec.kt
@@ -20,8 +20,8 @@
 private const val LAYERS = 12
 private const val CRASH_WORD = "detonate"
 
-/** Rounds until one crashes a stage in a shared step; most first rounds do. */
-private const val MOST_ROUNDS = 5
+/** Rounds until one crashes a stage in a shared step, which depends on how busy its engine is. */
+private const val MOST_ROUNDS = 12
 
 /** Three pipelines of two stages, so that copies of one content can run at three heads at once. */
 private fun threePipelines(): SitePlan {
