Give the constants, sets and faults of this change one place each

Found on reading the whole change again; behaviour unchanged.

- A set of replicas had two functions for the most layers it can hold, of which one is the other without room; sets of one server and the order by memory were spelled out in several places.
- Choosing a path worked the load of each path out again for each comparison, and joined the lists of all paths for each of them.
It is worked out once, and the joined list is made when paths are planned.
No figure was taken.
- The soak listed its faults in two 'when's, for the begin and the end; each fault now has both in one place.
The callers' deadline stood twice.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/LayoutPolicy.kt
@@ -74,8 +74,8 @@
     val first = firstOrNull()?.takeIf { it.layers.from == 0 } ?: return this
     val missing = ideal.first().replicas.servers.size - first.replicas.servers.size
     val added =
-        spares.filter { ReplicaSet(listOf(it)).mostLayers(engine.layerMb) > first.layers.size }
-            .sortedWith(compareBy({ it.memoryMb }, { it.instanceId }))
+        spares.filter { withoutReplicas(it).mostLayers(engine.layerMb) > first.layers.size }
+            .sortedWith(smallestFirst)
             .take(missing.coerceAtLeast(0))
     return listOf(first.copy(replicas = ReplicaSet(first.replicas.servers + added))) + drop(1)
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/layout/Link.kt
@@ -13,18 +13,24 @@
 internal data class ReplicaSet(val servers: List<LayoutServer>) {
     private val memoryMb = servers.sumOf { it.memoryMb }
 
-    /** Most layers that each of the servers can hold. */
-    fun mostLayers(layerMb: Double): Int = floor(servers.minOf { it.memoryMb } / layerMb).toInt()
-
     /** Memory for requests in each of [layers] layers, in all servers together. */
     fun roomMbPerLayer(layers: Int, layerMb: Double): Double =
         memoryMb / layers - servers.size * layerMb
 
-    /** Most layers that leave [roomMb] for requests in each layer. */
-    fun mostLayers(layerMb: Double, roomMb: Double): Int =
-        minOf(mostLayers(layerMb), floor(memoryMb / (servers.size * layerMb + roomMb)).toInt())
+    /** Most layers that each server can hold with [roomMb] left for requests in each layer. */
+    fun mostLayers(layerMb: Double, roomMb: Double = 0.0): Int {
+        val byServer = servers.minOf { it.memoryMb } / layerMb
+        return floor(minOf(byServer, memoryMb / (servers.size * layerMb + roomMb))).toInt()
+    }
 }
 
+/** A set of one server. */
+internal fun withoutReplicas(server: LayoutServer) = ReplicaSet(listOf(server))
+
+/** Servers with little memory first; instance ids settle ties. */
+internal val smallestFirst: Comparator<LayoutServer> =
+    compareBy({ it.memoryMb }, { it.instanceId })
+
 /** Replicas with their layers in a chain of servers that hold one copy of a model. */
 internal data class Link(val replicas: ReplicaSet, val layers: LayerRange)
 
@@ -56,7 +62,7 @@
             val held = checkNotNull(server.held)
             val from = maxOf(held.from, covered)
             covered = maxOf(covered, held.to)
-            Link(ReplicaSet(listOf(server)), LayerRange(from, held.to))
+            Link(withoutReplicas(server), LayerRange(from, held.to))
                 .takeIf { it.layers.size > 0 }
         }
     return chain.withFirstReplicas(group)
@@ -86,7 +92,7 @@
     val sparesByPlace =
         spares.sortedWith(compareBy({ -it.memoryMb }, { it.instanceId }))
             .withIndex()
-            .groupBy({ places[it.index % places.size] }, { ReplicaSet(listOf(it.value)) })
+            .groupBy({ places[it.index % places.size] }, { withoutReplicas(it.value) })
     return (0..size).flatMap {
         sparesByPlace[it].orEmpty() + listOfNotNull(getOrNull(it)?.replicas)
     }
@@ -99,8 +105,8 @@
  * middle, where the loss of one moves the others by half as much as at an end.
  */
 internal fun newOrder(servers: List<LayoutServer>, firstCount: Int): List<ReplicaSet> {
-    val bySize = servers.sortedWith(compareBy({ it.memoryMb }, { it.instanceId }))
+    val bySize = servers.sortedWith(smallestFirst)
     val (left, right) = bySize.drop(firstCount).withIndex().partition { it.index % 2 == 0 }
     val others = left.map { it.value } + right.map { it.value }.reversed()
-    return listOf(ReplicaSet(bySize.take(firstCount))) + others.map { ReplicaSet(listOf(it)) }
+    return listOf(ReplicaSet(bySize.take(firstCount))) + others.map { withoutReplicas(it) }
 }
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SharedSilence.kt
@@ -1,10 +1,7 @@
 package org.jacinthlink.decision.paths
 
 /** Fewer servers may well be silent together. */
-private const val SEVERAL = 4
-
-/** Streams of which one at least has an event in each pass of the engines. */
-private const val SEVERAL_STREAMS = 3
+private const val SEVERAL_SERVERS = 4
 
 /** Streams that stand still have been without an event for longer than between two events. */
 private const val STILL_MS = 65L
@@ -28,7 +25,8 @@
  * @param asked Servers that were asked at about the same time.
  * @param unanswered Those of them that have not answered yet.
  */
-fun isOwnDelay(asked: Int, unanswered: Int): Boolean = asked >= SEVERAL && unanswered * 2 > asked
+fun isOwnDelay(asked: Int, unanswered: Int): Boolean =
+    asked >= SEVERAL_SERVERS && unanswered * 2 > asked
 
 /**
  * True if the streams through a server bear out the word of a peer that it is silent.
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceLimit.kt
@@ -1,5 +1,8 @@
 package org.jacinthlink.decision.paths
 
+/** Streams of which one at least has an event in each pass of the engines. */
+internal const val SEVERAL_STREAMS = 3
+
 /**
  * How long a path may give no event to any of its streams before its servers are asked whether
  * they live.
@@ -21,7 +24,7 @@
     fun limitMs(eventMs: Long, flowing: Int, nowMs: Long): Long {
         note(eventMs, nowMs)
         val limit = (pauseMs * FACTOR).toLong()
-        return if (flowing >= SEVERAL) limit.coerceIn(MIN_MS, MAX_MS) else LONELY_MS
+        return if (flowing >= SEVERAL_STREAMS) limit.coerceIn(MIN_MS, MAX_MS) else LONELY_MS
     }
 
     private fun note(eventMs: Long, nowMs: Long) {
@@ -44,9 +47,6 @@
         const val DECAY = 0.9
         const val DECAY_PERIOD_MS = 250L
 
-        /** Streams of which one at least has an event in each pass of the engines. */
-        const val SEVERAL = 3
-
         /** Events come every 20 to 60 ms. */
         const val MIN_MS = 65L
         const val MAX_MS = 260L
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceWatch.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/SilenceWatch.kt
@@ -43,9 +43,9 @@
             .filter { mayAsk(it.name, nowMs) }
 
     private fun silentIn(zone: String, signs: List<StreamSign>, nowMs: Long): List<SilentPaths> {
-        val together =
-            if (signs.count { it.isFlowing } >= SEVERAL) silence(zone, signs, nowMs) else null
-        if (together != null) return listOf(together)
+        if (signs.count { it.isFlowing } >= SEVERAL_STREAMS) {
+            silence(zone, signs, nowMs)?.let { return listOf(it) }
+        }
         return signs.groupBy { it.path }.mapNotNull { (path, own) ->
             silence(path.toString(), own, nowMs)
         }
@@ -72,9 +72,6 @@
     }
 
     private companion object {
-        /** Streams of which one at least has an event in each pass of the engines. */
-        const val SEVERAL = 3
-
         /** A slow path looks silent again and again; servers bill each question. */
         const val FIRST_ASK_PAUSE_MS = 250L
         const val LAST_ASK_PAUSE_MS = 4_000L
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathBook.kt
@@ -26,6 +26,9 @@
     private val slow: () -> Set<String>
 ) {
     private val pathsByService = HashMap<String, List<ServingPath>>()
+
+    /** All of [pathsByService]; made when paths are planned, and read for each request. */
+    private var planned = emptyList<ServingPath>()
     private val described = HashMap<String, String>()
     private val ownLoads = HashMap<PathId, PathLoad>()
     private val rejections = HashMap<PathId, GrowingPause>()
@@ -43,15 +46,18 @@
     /** Plans all paths anew at the next use. */
     fun invalidate() {
         pathsByService.clear()
+        planned = emptyList()
     }
 
     /** Paths of [service] without the servers at [failed]. */
     fun paths(service: ServiceDefinition, failed: Set<String>): List<ServingPath> {
         val engine = service.engine ?: return emptyList()
-        return pathsByService.getOrPut(service.name) {
-            planPaths(engine, servers.ready(service.name), failed, slow())
-                .also { logIfChanged(service.name, it) }
-        }
+        pathsByService[service.name]?.let { return it }
+        val next = planPaths(engine, servers.ready(service.name), failed, slow())
+        logIfChanged(service.name, next)
+        pathsByService[service.name] = next
+        planned = pathsByService.values.flatten()
+        return next
     }
 
     /**
@@ -72,8 +78,9 @@
         val straight = all.filter { isAccepting(it, nowMs) }.ifEmpty { all }.straight()
         val prompt = straight.filter { isPrompt(it, nowMs) }
         val candidates = if (isUrgent) prompt.ifEmpty { straight } else prompt
-        val roomy = candidates.filter { share(it, tokens) <= FILL_SHARE }.ifEmpty { candidates }
-        return roomy.minWithOrNull(compareBy({ burden(it, tokens) }, { slotsTaken(it) }))
+        val loaded = candidates.map { LoadedPath(it, share(it, tokens)) }
+        val roomy = loaded.filter { it.share <= FILL_SHARE }.ifEmpty { loaded }
+        return roomy.minWithOrNull(compareBy({ it.burden }, { it.slotsTaken }))?.path
     }
 
     /** True if a path has room for a request of [tokens] and answers soon. */
@@ -93,7 +100,7 @@
     /** Those of them that no router uses. */
     fun freeTokens(service: ServiceDefinition, failed: Set<String>): Long {
         val usable = (usableTokens(service, failed) * FILL_SHARE).toLong()
-        val used = paths(service, failed).map { it.id }.distinct().sumOf { load(it).tokens }
+        val used = paths(service, failed).sumOf { load(it.id).tokens }
         return (usable - used).coerceAtLeast(0)
     }
 
@@ -103,8 +110,7 @@
 
     /** True if a path besides those of [home] has room for [tokens] without crossing zones. */
     fun hasOther(home: String, tokens: Long, nowMs: Long): Boolean =
-        pathsByService.values.flatten()
-            .any { it.home != home && it.crossings == 0 && takes(it, tokens, nowMs) }
+        planned.any { it.home != home && it.crossings == 0 && takes(it, tokens, nowMs) }
 
     /** Notes that a send takes [tokens] of [path]. */
     fun use(path: ServingPath, tokens: Long, nowMs: Long): PathUse {
@@ -148,15 +154,16 @@
     private fun load(id: PathId): PathLoad = (ownLoads[id] ?: NO_LOAD) + (peerLoads[id] ?: NO_LOAD)
 
     private fun share(path: ServingPath, tokens: Long): Double =
-        path.shareTaken(PathLoad(tokens, 1), pathsByService.values.flatten(), ::load)
+        path.shareTaken(PathLoad(tokens, 1), planned, ::load)
 
-    private fun slotsTaken(path: ServingPath): Double =
-        path.slotsTaken(NO_LOAD, pathsByService.values.flatten(), ::load)
+    /** A path and what would be taken of it; each figure is worked out once for a request. */
+    private inner class LoadedPath(val path: ServingPath, val share: Double) {
+        /** The paths of a zone read their prompts with the same servers, but for the first. */
+        val burden: Double =
+            share + backlogs.filterKeys { it.home == path.home }.values.sumOf { it.waitingShare }
 
-    /** The paths of a zone read their prompts with the same servers, but for the first. */
-    private fun burden(path: ServingPath, tokens: Long): Double =
-        share(path, tokens) +
-            backlogs.filterKeys { it.home == path.home }.values.sumOf { it.waitingShare }
+        val slotsTaken: Double = path.slotsTaken(NO_LOAD, planned, ::load)
+    }
 
     private fun logIfChanged(service: String, paths: List<ServingPath>) {
         val text = paths.joinToString(";") { path ->
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
@@ -9,6 +9,9 @@
 import java.net.http.HttpTimeoutException
 import java.time.Duration
 
+/** Time that callers give a request. */
+internal const val DEADLINE_MS = 3_000L
+
 /** What a caller sends. */
 internal enum class CallKind(val path: String, val method: String) {
     STREAM("/s/x", "POST"),
@@ -87,7 +90,6 @@
         }
 
         val BODY: HttpResponse.BodyHandler<InputStream> = HttpResponse.BodyHandlers.ofInputStream()
-        const val DEADLINE_MS = 3_000L
 
         /** The deadline, the longest time for which a router is frozen, and a start. */
         const val PATIENCE_MS = 8_000L
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakChecks.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakChecks.kt
@@ -65,4 +65,3 @@
 private val DENIALS = setOf(400, 401, 403, 404)
 private val REFUSALS = setOf(408, 421, 429, 503)
 private const val OK = 200
-private const val DEADLINE_MS = 3_000L
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
@@ -84,48 +84,51 @@
 
 /** Brings [planned] about for its time. */
 internal fun SoakSite.play(planned: PlannedFault) {
-    begin(planned.fault)
+    val episode = episodeOf(planned.fault)
+    episode.begin()
     Thread.sleep(planned.forMs)
-    end(planned.fault)
+    episode.end()
 }
 
-private fun SoakSite.begin(fault: SoakFault) {
+/** What begins a fault and what ends it. */
+private class Episode(val begin: () -> Unit, val end: () -> Unit = {})
+
+private fun SoakSite.episodeOf(fault: SoakFault): Episode =
     when (fault) {
-        is SoakFault.RouterKilled -> routers[fault.router].kill()
-        is SoakFault.RouterFrozen -> routers[fault.router].freeze()
-        is SoakFault.RouterStopped -> routers[fault.router].terminate()
-        SoakFault.StoreRefuses -> store.isDown = true
-        is SoakFault.StoreSlow -> setStoreLink(fault.router, ProxyFaults(delayMs = SLOW_STORE_MS))
+        is SoakFault.RouterKilled ->
+            Episode(routers[fault.router]::kill, routers[fault.router]::start)
+        is SoakFault.RouterFrozen ->
+            Episode(routers[fault.router]::freeze, routers[fault.router]::thaw)
+        is SoakFault.RouterStopped ->
+            Episode(routers[fault.router]::terminate, routers[fault.router]::start)
+        SoakFault.StoreRefuses -> Episode({ store.isDown = true }, { store.isDown = false })
+        is SoakFault.StoreSlow ->
+            proxied(storeLink(fault.router), ProxyFaults(delayMs = SLOW_STORE_MS))
         is SoakFault.StoreCutOneWay ->
-            setStoreLink(fault.router, ProxyFaults(hold = fault.direction))
-        is SoakFault.ConnectionsReset -> proxy.cutAll(fault.server)
-        is SoakFault.ConnectionsSilent -> proxy.silenceExisting(fault.server)
-        is SoakFault.ServerDark ->
-            setDark(server(fault.server), ProxyFaults(hold = ProxyDirection.TO_CLIENT))
-        is SoakFault.ServerDelayed ->
-            proxy.setFaults(fault.server, ProxyFaults(delayMs = SLOW_SERVER_MS))
-        is SoakFault.ServerScripted -> server(fault.server).script = fault.script
-        is SoakFault.ServerDrains -> register(server(fault.server), "draining")
-        SoakFault.ConfigurationWritten -> configure()
+            proxied(storeLink(fault.router), ProxyFaults(hold = fault.direction))
+        is SoakFault.ConnectionsReset -> Episode({ proxy.cutAll(fault.server) })
+        is SoakFault.ConnectionsSilent -> Episode({ proxy.silenceExisting(fault.server) })
+        is SoakFault.ServerDelayed -> proxied(fault.server, ProxyFaults(delayMs = SLOW_SERVER_MS))
+        is SoakFault.ServerDark -> dark(server(fault.server))
+        is SoakFault.ServerScripted -> scripted(server(fault.server), fault.script)
+        is SoakFault.ServerDrains -> draining(server(fault.server))
+        SoakFault.ConfigurationWritten -> Episode(::configure)
     }
-}
 
-private fun SoakSite.end(fault: SoakFault) {
-    when (fault) {
-        is SoakFault.RouterKilled -> routers[fault.router].start()
-        is SoakFault.RouterFrozen -> routers[fault.router].thaw()
-        is SoakFault.RouterStopped -> routers[fault.router].start()
-        SoakFault.StoreRefuses -> store.isDown = false
-        is SoakFault.StoreSlow -> setStoreLink(fault.router, ProxyFaults())
-        is SoakFault.StoreCutOneWay -> setStoreLink(fault.router, ProxyFaults())
-        is SoakFault.ConnectionsReset, is SoakFault.ConnectionsSilent -> Unit
-        is SoakFault.ServerDark -> setDark(server(fault.server), ProxyFaults())
-        is SoakFault.ServerDelayed -> proxy.setFaults(fault.server, ProxyFaults())
-        is SoakFault.ServerScripted -> server(fault.server).script = Script.Serve
-        is SoakFault.ServerDrains -> register(server(fault.server))
-        SoakFault.ConfigurationWritten -> Unit
-    }
-}
+private fun SoakSite.proxied(listener: String, faults: ProxyFaults) =
+    Episode({ proxy.setFaults(listener, faults) }, { proxy.setFaults(listener, ProxyFaults()) })
+
+private fun SoakSite.dark(server: EngineStandIn) =
+    Episode(
+        { setDark(server, ProxyFaults(hold = ProxyDirection.TO_CLIENT)) },
+        { setDark(server, ProxyFaults()) }
+    )
+
+private fun scripted(server: EngineStandIn, script: Script) =
+    Episode({ server.script = script }, { server.script = Script.Serve })
+
+private fun SoakSite.draining(server: EngineStandIn) =
+    Episode({ register(server, "draining") }, { register(server) })
 
 /** Ends whatever faults overlapped so that one undid another's end. */
 internal fun SoakSite.heal() {
@@ -134,7 +137,7 @@
         it.thaw()
         it.start()
     }
-    routers.indices.forEach { setStoreLink(it, ProxyFaults()) }
+    routers.indices.forEach { proxy.setFaults(storeLink(it), ProxyFaults()) }
     (engines + desks).forEach {
         it.script = Script.Serve
         setDark(it, ProxyFaults())
@@ -142,9 +145,6 @@
     }
 }
 
-private fun SoakSite.setStoreLink(router: Int, faults: ProxyFaults) =
-    proxy.setFaults(storeLink(router + 1), faults)
-
 private fun SoakSite.server(instanceId: String): EngineStandIn =
     (engines + desks).first { it.instanceId == instanceId }
 
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
@@ -43,11 +43,11 @@
             register(server)
         }
         val peerPort = freePort("127.0.0.1")
-        routers = (1..ROUTERS).map { number ->
-            val host = "127.0.0.$number"
+        routers = List(ROUTERS) { index ->
+            val host = "127.0.0.${index + 1}"
             RouterProcess(
                 RouterSettings(
-                    instance = "r$number",
+                    instance = "r${index + 1}",
                     availabilityZone = "a",
                     clients = "$host:${freePort(host)}",
                     readiness = "$host:${freePort(host)}",
@@ -55,7 +55,7 @@
                     peerPort = peerPort,
                     metricsPort = 0,
                     seeds = listOf("127.0.0.1:$peerPort"),
-                    store = listener(storeLink(number), store.address.toString()),
+                    store = listener(storeLink(index), store.address.toString()),
                     shutdownGraceS = GRACE_S
                 ),
                 folder
@@ -64,8 +64,8 @@
         routers.forEach { it.start() }
     }
 
-    /** Name of the proxy's listener on the way of router [number] to the store. */
-    fun storeLink(number: Int): String = "store-$number"
+    /** Name of the proxy's listener on the way of the router at [index] to the store. */
+    fun storeLink(index: Int): String = "store-$index"
 
     /** Lets [server] answer nothing and pass nothing on, or takes that back. */
     fun setDark(server: EngineStandIn, faults: ProxyFaults) {
