--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
@@ -22,7 +22,7 @@
             seeds().forEach { seed ->
                 // Guards against promises that hold under each fault alone and not under several.
                 it("keep the promises to callers and serve again afterwards, seed $seed") {
-                    val folder = Files.createDirectories(LOGS.resolve("seed-$seed"))
+                    val folder = emptyFolder(seed)
                     SoakSite(folder).use { site ->
                         site.awaitService()
                         val faults = planFaults(seed, site, lengthMs())
@@ -47,6 +47,13 @@
 private const val CALLERS = 6
 private const val CALL_PAUSE_MS = 40L
 
+/** A folder for the logs of [seed] without those of a former run. */
+private fun emptyFolder(seed: Int): Path {
+    val folder = LOGS.resolve("seed-$seed")
+    folder.toFile().deleteRecursively()
+    return Files.createDirectories(folder)
+}
+
 private fun seeds(): List<Int> =
     System.getProperty("soak.seeds", "1,2").split(',').map { it.trim().toInt() }
 
