--- a/review/3/Resume.java
+++ b/review/3/Resume.java
@@ -13,7 +13,7 @@
 public final class Resume {
     static final int EVENTS = 40;
     static final int EVENT_MS = 40;
-    static final int STREAMS = 8;
+    static final int STREAMS = 16;
 
     public static void main(String[] arguments) throws Exception {
         Case.run(arguments, Resume::holds);
