Take an answer without a length as complete only after a close by the server

Cause: the codec ends an answer without a length at any end of the connection. Only a reset noticed by a read was excluded; one noticed by a write, while the request was still being sent, was not, nor the end of the own event loop. Change: InputEndHandler tells a close by the server from all other ends, and the result of writing the request is looked at. Such an answer is complete only after a close by the server and once the whole request has been written.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -19,14 +20,16 @@
  * so that surplus bytes after a response are detected before the next request is sent. Such bytes
  * close the connection.
  */
-internal class ClientConnection(val address: Address, private val client: HttpClient) :
-    ChannelInboundHandlerAdapter() {
+internal class ClientConnection(
+    val address: Address,
+    private val client: HttpClient,
+    private val input: InputEndHandler
+) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private var call: ConnectionCall? = null
     private var wasPooled = false
     private var isKeepAlive = true
     private var poolAfterRead = false
-    private var hasFailed = false
     private var usableUntilMs = Long.MAX_VALUE
     private var interimResponses = 0
 
@@ -57,7 +60,7 @@
         if (request.body.isNotEmpty() || request.method !in METHODS_WITHOUT_BODY) {
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
-        ctx.writeAndFlush(message)
+        ctx.writeAndFlush(message).addListener { requestWritten(next, it.isSuccess) }
     }
 
     /** Closes the connection. */
@@ -91,13 +94,22 @@
         failCall(CallFailure.CONNECTION_LOST)
     }
 
-    /**
-     * Fails the call before the connection closes, because at that point the codec reports a
-     * response without a length as complete, even after a reset.
-     */
+    /** Closes the connection when the server has closed its side of it. */
+    override fun userEventTriggered(ctx: ChannelHandlerContext, evt: Any) {
+        if (evt is ChannelInputShutdownEvent) connectionLost()
+    }
+
     @Deprecated("deprecated in Netty")
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        hasFailed = true
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = connectionLost()
+
+    private fun requestWritten(written: ConnectionCall, isSuccess: Boolean) {
+        when {
+            isSuccess -> written.isSent = true
+            call === written -> connectionLost()
+        }
+    }
+
+    private fun connectionLost() {
         failCall(CallFailure.CONNECTION_LOST)
         ctx.close()
     }
@@ -116,21 +128,35 @@
 
     private fun readBody(current: ConnectionCall, content: HttpContent) {
         if (content.decoderResult().isFailure) return malformed()
-        if (!current.hasHead || hasFailed) return
+        if (!current.hasHead) return
         val bytes = content.content()
         if (bytes.isReadable) {
             val part = ByteArray(bytes.readableBytes())
             bytes.readBytes(part)
             current.body(part)
         }
-        if (content is LastHttpContent && !current.isEnded) {
-            call = null
-            poolAfterRead = isKeepAlive && ctx.channel().isActive
-            if (!poolAfterRead) ctx.close()
-            current.complete()
-        }
+        if (content is LastHttpContent && !current.isEnded) readEnd(current)
+    }
+
+    private fun readEnd(current: ConnectionCall) {
+        if (!isComplete(current)) return connectionLost()
+        call = null
+        poolAfterRead = isKeepAlive && input.end == null && ctx.channel().isActive
+        if (!poolAfterRead) ctx.close()
+        current.complete()
     }
 
+    /**
+     * True unless the end of the connection has ended the response too early. A server that closes
+     * the connection before it has the whole request may have crashed.
+     */
+    private fun isComplete(current: ConnectionCall): Boolean =
+        when (input.end) {
+            null -> true
+            InputEnd.BY_PEER -> current.isSent
+            InputEnd.ABORTED -> false
+        }
+
     private fun updateKeepAliveTimeout(response: HttpResponse) {
         val timeoutS =
             response.headers().get("keep-alive")?.let { KEEP_ALIVE_TIMEOUT.find(it) }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
@@ -11,6 +11,9 @@
     var isEnded = false
         private set
 
+    /** True once all bytes of the request have been written to the socket. */
+    var isSent = false
+
     /** True once status and headers of the response have arrived. */
     var hasHead = false
         private set
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -43,11 +43,12 @@
     }
 
     private fun connect(call: ConnectionCall) {
-        val connection = ClientConnection(call.request.address, this)
+        val input = InputEndHandler()
+        val connection = ClientConnection(call.request.address, this, input)
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), connection)
+                    channel.pipeline().addLast(input, HttpClientCodec(), connection)
                 }
             }
         val connecting =
@@ -55,6 +56,7 @@
                 .group(loop.group)
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.request.connectTimeoutMs)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(initializer)
                 .connect(call.request.address.toSocketAddress())
         call.attach(connecting.channel())
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -166,27 +166,3 @@
         }
     }
 }
-
-private class RecordingListener : ClientListener {
-    val end = CompletableFuture<String>()
-    private var status = 0
-    private val body = StringBuilder()
-
-    fun outcome(): String = "$status $body ${end.get()}"
-
-    override fun onHead(status: Int, headers: List<HeaderField>) {
-        this.status = status
-    }
-
-    override fun onBody(part: ByteArray) {
-        body.append(part.decodeToString())
-    }
-
-    override fun onComplete() {
-        end.complete("complete")
-    }
-
-    override fun onFailure(failure: CallFailure) {
-        end.complete(failure.name)
-    }
-}
--- a/transport/src/test/kotlin/org/jacinthlink/transport/TestSupport.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/TestSupport.kt
@@ -41,3 +41,32 @@
 
 /** Limits that are high enough for all tests that do not set lower ones. */
 internal val WIDE_LIMITS = ServerLimits(16_384, 1_000_000, 10_000, 10_000)
+
+/** Records the response to one request. */
+internal class RecordingListener : ClientListener {
+    val end = CompletableFuture<String>()
+    private var status = 0
+    private val body = StringBuilder()
+
+    /** Status, body and how the response ended, once it has. */
+    fun outcome(): String {
+        val how = end.await()
+        return "$status $body $how"
+    }
+
+    override fun onHead(status: Int, headers: List<HeaderField>) {
+        this.status = status
+    }
+
+    override fun onBody(part: ByteArray) {
+        body.append(part.decodeToString())
+    }
+
+    override fun onComplete() {
+        end.complete("complete")
+    }
+
+    override fun onFailure(failure: CallFailure) {
+        end.complete(failure.name)
+    }
+}
