Recognize a reset that the older HTTP client meets while it sends

Cause: OkHttp reads the answer even if the request could not be written. The failed write takes the error of the socket, so an answer without a length that is cut by a reset then ends like a complete one. Change: OkHttpPeerClient fails such an answer. One with a length or chunks is not affected.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -38,7 +38,7 @@
                 .readTimeout(timeoutMs, TimeUnit.MILLISECONDS)
                 .build()
         return try {
-            client.newCall(request(call, sent)).execute().use(::answered)
+            client.newCall(request(call, sent)).execute().use { answered(it, sent) }
         } catch (e: IOException) {
             val failure = sent.failure(e)
             // Other idle connections to the peer may be as silent as this one. A refused connection
@@ -111,20 +111,41 @@
     }
 }
 
-/** Notes whether any byte of a request was written. */
+/** Notes whether any byte of a request was written, and whether all of them were. */
 private class SentMarker : EventListener() {
     private val sent = AtomicBoolean(false)
+    private val writeFailed = AtomicBoolean(false)
 
     override fun requestHeadersStart(call: Call) = sent.set(true)
 
+    override fun requestFailed(call: Call, ioe: IOException) = writeFailed.set(true)
+
+    /**
+     * Throws if [response], all of which has been read, may be incomplete.
+     *
+     * OkHttp reads the response even if the request could not be written completely. The failed
+     * write may have consumed the error of a reset connection, and its end then looks regular.
+     */
+    fun checkComplete(response: Response) {
+        val endsWithConnection =
+            response.body!!.contentLength() == UNKNOWN_LENGTH &&
+                response.header("Transfer-Encoding") == null
+        if (writeFailed.get() && endsWithConnection) {
+            throw IOException("connection lost while the request was sent")
+        }
+    }
+
     fun failure(cause: IOException): PeerResult {
         val message = "${cause.javaClass.simpleName}: ${cause.message}"
         return if (sent.get()) PeerResult.Unknown(message) else PeerResult.NotSent(message)
     }
 }
 
-private fun answered(response: Response): PeerResult =
-    PeerResult.Answered(response.code, response.headers.toMap(), response.body!!.string())
+private fun answered(response: Response, sent: SentMarker): PeerResult {
+    val text = response.body!!.string()
+    sent.checkComplete(response)
+    return PeerResult.Answered(response.code, response.headers.toMap(), text)
+}
 
 private class LineReader(private val listener: LineListener, private val sent: SentMarker) :
     Callback {
@@ -133,6 +154,7 @@
     override fun onResponse(call: Call, response: Response) {
         try {
             response.use(::readLines)
+            sent.checkComplete(response)
             listener.onEnd()
         } catch (e: IOException) {
             listener.onFailure(sent.failure(e))
@@ -145,3 +167,5 @@
         while (true) listener.onLine(source.readUtf8Line() ?: return)
     }
 }
+
+private const val UNKNOWN_LENGTH = -1L
