--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -248,7 +248,7 @@
     }
 
     private fun stream(request: ServerRequest, exchange: ServerExchange) {
-        val last = request.headers.valueOf("Last-Event-Id")?.toInt() ?: 0
+        val last = request.headers.valueOf("Last-Event-Id")?.toIntOrNull() ?: 0
         exchange.startStream(200, headers(request))
         sendEvents(exchange, request.headers.valueOf("Hop-Count").orEmpty(), last + 1, sent = 0)
     }
