Renew watches of the store in time, so that a silent one is not taken for a quiet one

Cause: a watch waits for 10 s at the store and fails 1 s later. Until then no answer counts as no change, at all routers alike, and the next call may take another silent connection from the pool. Change: two routers of a fleet let their watches wait for configurationApplyMs (a new setting) only. Gossip carries the revision of the newest change of each prefix; a router whose watch has not reported it renews the watch. A call without an answer in time closes the idle connections to its address.

--- /dev/null
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
@@ -0,0 +1,80 @@
+package org.jacinthlink.decision.watch
+
+/**
+ * What a router knows of a peer that watches the same store.
+ *
+ * @property storeAgeMs Time since the store last answered the peer, or null if it never did.
+ */
+data class WatchingPeer(val instance: String, val storeAgeMs: Long?, val isDraining: Boolean)
+
+/**
+ * A call to the store that waits for changes.
+ *
+ * @property revision Revision of the store up to which the changes are known.
+ * @property sentAtMs When the call was sent.
+ * @property limitMs Longest time that the call may take at present.
+ */
+data class PendingWatch(val revision: Long, val sentAtMs: Long, val limitMs: Long)
+
+/** Why a watch is not to be waited for any longer. */
+enum class RenewalCause {
+    /** The store should have answered by now, also if nothing has changed. */
+    OVERDUE,
+
+    /** A peer has received a later change, which the watch should have reported as well. */
+    PEER_AHEAD
+}
+
+/**
+ * True if the router [instance] should renew its watches often, instead of waiting for changes as
+ * long as possible.
+ *
+ * Load pattern: connections to the store fall silent without a reset, and a watch on them looks
+ * like one without changes. A few routers find that out soon by short watches, and tell the others
+ * of the changes. If all routers did so, most calls to the store of a large fleet would be renewals.
+ *
+ * @param freshMs Age of the last answer of the store up to which a peer counts as able to read it.
+ */
+fun renewsOften(instance: String, peers: List<WatchingPeer>, freshMs: Long): Boolean =
+    peers.count {
+        it.instance < instance && !it.isDraining && it.storeAgeMs != null &&
+            it.storeAgeMs <= freshMs
+    } < FREQUENT_ROUTERS
+
+/**
+ * Decides when a pending watch is renewed on a new connection.
+ *
+ * Load pattern: the connection of the watch has fallen silent, while peers receive changes.
+ */
+class WatchRenewal {
+    private var peerRevision = 0L
+    private var aheadSinceMs = 0L
+
+    /** Highest revision of a peer for which a watch has been renewed. */
+    private var renewedRevision = 0L
+
+    /**
+     * Why [watch] should be renewed at [nowMs], or null if it may wait.
+     *
+     * @param newestPeerRevision Revision of the newest change that a peer has received, or 0.
+     */
+    fun cause(watch: PendingWatch, newestPeerRevision: Long, nowMs: Long): RenewalCause? {
+        if (newestPeerRevision > peerRevision) aheadSinceMs = nowMs
+        peerRevision = newestPeerRevision
+        val isBehind = newestPeerRevision > maxOf(watch.revision, renewedRevision)
+        return when {
+            nowMs - watch.sentAtMs > watch.limitMs -> RenewalCause.OVERDUE
+            isBehind && nowMs - maxOf(aheadSinceMs, watch.sentAtMs) > PEER_LEAD_MS -> {
+                renewedRevision = newestPeerRevision
+                RenewalCause.PEER_AHEAD
+            }
+            else -> null
+        }
+    }
+}
+
+/** One of them may be cut off from the store while the others are not. */
+private const val FREQUENT_ROUTERS = 2
+
+/** The watches of two routers report a change within this time of one another. */
+private const val PEER_LEAD_MS = 800L
--- /dev/null
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/watch/WatchRenewalSpec.kt
@@ -0,0 +1,69 @@
+package org.jacinthlink.decision.watch
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+class WatchRenewalSpec :
+    DescribeSpec({
+        fun peer(name: String, ageMs: Long? = 100, isDraining: Boolean = false) =
+            WatchingPeer(name, ageMs, isDraining)
+
+        describe("the routers that renew their watches often") {
+            // Guards against calls to the store that grow with the number of routers.
+            it("are two of a fleet") {
+                val names = listOf("a", "b", "c", "d")
+                names.filter { own ->
+                    renewsOften(own, (names - own).map { peer(it) }, FRESH_MS)
+                } shouldBe listOf("a", "b")
+            }
+
+            it("are all of a fleet that cannot read the store") {
+                val names = listOf("a", "b", "c")
+                names.all { own ->
+                    renewsOften(own, (names - own).map { peer(it, FRESH_MS + 1) }, FRESH_MS)
+                } shouldBe true
+            }
+
+            it("are others if the first ones drain or have never read the store") {
+                val peers = listOf(peer("a", isDraining = true), peer("b", ageMs = null))
+                renewsOften("c", peers, FRESH_MS) shouldBe true
+            }
+        }
+
+        describe("a pending watch") {
+            val watch = PendingWatch(revision = 10, sentAtMs = 1_000, limitMs = 3_000)
+
+            it("waits while its time is not up and no peer is ahead") {
+                WatchRenewal().cause(watch, 10, 4_000) shouldBe null
+            }
+
+            it("is renewed when its time is up") {
+                WatchRenewal().cause(watch, 0, 4_001) shouldBe RenewalCause.OVERDUE
+            }
+
+            // Guards against a silent watch that is waited for although a peer has later changes.
+            it("is renewed once when a peer stays ahead") {
+                val renewal = WatchRenewal()
+                renewal.cause(watch, 12, 2_000) shouldBe null
+                renewal.cause(watch, 12, 2_801) shouldBe RenewalCause.PEER_AHEAD
+                renewal.cause(watch.copy(sentAtMs = 2_801), 12, 3_700) shouldBe null
+            }
+
+            // Guards against a peer that makes others call the store all the time.
+            it("is not renewed again and again while the peer is ahead by the same change") {
+                val renewal = WatchRenewal()
+                renewal.cause(watch, Long.MAX_VALUE, 1_500)
+                (2_000L..4_000L step 100).count {
+                    renewal.cause(watch, Long.MAX_VALUE, it) != null
+                } shouldBe 1
+            }
+
+            it("waits as long for the answer to a call that has just been sent") {
+                val renewal = WatchRenewal()
+                renewal.cause(watch, 12, 2_000)
+                renewal.cause(watch.copy(sentAtMs = 2_700), 12, 2_900) shouldBe null
+            }
+        }
+    })
+
+private const val FRESH_MS = 4_000L
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -28,6 +28,7 @@
 import org.jacinthlink.router.state.PrefixListener
 import org.jacinthlink.router.state.PrefixWatcher
 import org.jacinthlink.router.state.ServerRegistry
+import org.jacinthlink.router.state.StoreWatches
 import org.jacinthlink.transport.Address
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.eventLoop
@@ -99,8 +100,12 @@
             quarantine.monitor, clockMs
         )
     private val requests = RequestRouter(context, configuration, streams)
-    private val operatorWatcher = watch(OPERATOR_PREFIX, OPERATOR_PAUSE_MS, configuration)
-    private val serverWatcher = watch(SERVERS_PREFIX, SERVERS_PAUSE_MS, servers)
+    private val watches =
+        StoreWatches(
+            settings.instance,
+            watch(OPERATOR_PREFIX, OPERATOR_PAUSE_MS, configuration),
+            watch(SERVERS_PREFIX, SERVERS_PAUSE_MS, servers)
+        ) { this.settings.configurationApplyMs }
     private val snapshotFetcher =
         SnapshotFetcher(loop, http, settings.peerPort, configuration, servers, log)
     private val gossip =
@@ -119,7 +124,7 @@
             lease,
             layoutController,
             { isDraining },
-            ::storeAgeMs,
+            watches,
             clockMs
         )
     private val peers: GossipExchange =
@@ -142,7 +147,7 @@
                 streams
             ),
             { this.settings.retryBudget.windowMs },
-            WATCH_WAIT_MS
+            PrefixWatcher.MAX_WAIT_MS
         )
     private lateinit var listeners: RouterListeners
 
@@ -162,15 +167,17 @@
         loop.execute {
             registerGauges()
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
-            operatorWatcher.start()
-            serverWatcher.start()
+            watches.start()
             quarantine.start()
             loop.repeat(StreamTable.TICK_MS) {
                 pathMonitor.tick(clockMs())
                 admission.tick()
             }
             loop.repeat(LAYOUT_TICK_MS) { layoutController.tick() }
-            loop.repeat(PEER_TICK_MS) { peerUpdates.tick(isDraining, storeAgeMs(), clockMs()) }
+            loop.repeat(PEER_TICK_MS) {
+                watches.tick(peers.alive, clockMs())
+                peerUpdates.tick(isDraining, watches.ageMs(clockMs()), clockMs())
+            }
             loop.repeat(EXPIRE_TICK_MS) {
                 servers.expire(clockMs())
                 quarantine.tick()
@@ -183,7 +190,7 @@
             gauge("jacinthlink.streams") { streams.size }
             gauge("jacinthlink.streams.waiting") { admission.waitingCount }
             gauge("jacinthlink.peers") { peers.alive.size }
-            gauge("jacinthlink.store.age.ms") { storeAgeMs() ?: -1 }
+            gauge("jacinthlink.store.age.ms") { watches.ageMs(clockMs()) ?: -1 }
             gauge("jacinthlink.store.calls") { store.callCount }
             gauge("jacinthlink.contents.rejected") { quarantine.contents.harmful(clockMs()).size }
             registerStateGauges(configuration, servers, failureDetector)
@@ -228,12 +235,6 @@
         Thread.sleep(LOG_FLUSH_MS)
     }
 
-    private fun storeAgeMs(): Long? {
-        val confirmedAtMs = operatorWatcher.confirmedAtMs ?: return null
-        val serversAtMs = serverWatcher.confirmedAtMs ?: return null
-        return clockMs() - minOf(confirmedAtMs, serversAtMs)
-    }
-
     private fun isReady(): Boolean {
         val services = configuration.current?.services?.values ?: return false
         val serves = services.any { servers.ready(it.name).isNotEmpty() }
@@ -255,16 +256,17 @@
         streams.moveFromUnresponsive(address, clockMs(), isNewlyDetected = true)
     }
 
-    private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) = PrefixWatcher(
-        loop,
-        store,
-        log,
-        prefix,
-        WATCH_WAIT_MS,
-        pauseMs,
-        clockMs,
-        listener
-    )
+    private fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) =
+        PrefixWatcher(
+            loop,
+            store,
+            log,
+            prefix,
+            pauseMs,
+            settings.configurationApplyMs,
+            clockMs,
+            listener
+        )
 
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
@@ -279,7 +281,6 @@
         const val LAYOUT_TICK_MS = 100L
         const val PEER_TICK_MS = 100L
         const val EXPIRE_TICK_MS = 200L
-        const val WATCH_WAIT_MS = 10_000L
 
         /** Changes of the configuration take effect within 2 s. */
         const val OPERATOR_PAUSE_MS = 200L
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterGossip.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterGossip.kt
@@ -21,6 +21,7 @@
 import org.jacinthlink.router.relay.PathTable
 import org.jacinthlink.router.relay.SlowServerDetector
 import org.jacinthlink.router.relay.StreamTable
+import org.jacinthlink.router.state.StoreWatches
 import org.jacinthlink.router.state.ConfigurationCache
 import org.jacinthlink.router.state.ServerRegistry
 
@@ -46,7 +47,7 @@
     private val lease: LeadershipLease,
     private val layoutController: LayoutController,
     private val isDraining: () -> Boolean,
-    private val storeAgeMs: () -> Long?,
+    private val watches: StoreWatches,
     private val clockMs: () -> Long
 ) {
     /** Current gossip message of this router. */
@@ -61,7 +62,9 @@
             isDraining = isDraining(),
             dutyToken = lease.fencingToken,
             configurationVersion = state.configuration.current?.version,
-            storeAgeMs = storeAgeMs(),
+            storeAgeMs = watches.ageMs(nowMs),
+            operatorRevision = watches.operatorRevision,
+            serversRevision = watches.serversRevision,
             failed = failureDetector.unavailable.toList(),
             leaving = failureDetector.unavailable.filter { failureDetector.isDraining(it) },
             draining = state.servers.drainingSince(nowMs - DRAINING_MS).map {
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
@@ -17,6 +17,7 @@
  * @property seeds `IP:PORT` of instances that may be running; only the IP is used.
  * @property store `IP:PORT` of the platform's store.
  * @property shutdownGraceS Time between SIGTERM and SIGKILL, in seconds.
+ * @property configurationApplyMs Time within which a change in the store takes effect.
  * @property serverDrainMs Time for which a draining backend server continues to serve.
  */
 @Serializable
@@ -31,6 +32,7 @@
     val seeds: List<String> = emptyList(),
     val store: String,
     val shutdownGraceS: Double = 8.0,
+    val configurationApplyMs: Long = 2_000,
     val serverDrainMs: Long = 2_000,
     val retryBudget: RetryBudgetSettings = RetryBudgetSettings()
 )
@@ -60,9 +62,15 @@
     checkAddress("clients", settings.clients)
     checkAddress("readiness", settings.readiness)
     checkAddress("store", settings.store)
+    check("configurationApplyMs", settings.configurationApplyMs in APPLY_MS) {
+        "must be from ${APPLY_MS.first} to ${APPLY_MS.last} ms"
+    }
     settings.seeds.forEachIndexed { i, seed -> checkAddress("seeds[$i]", seed) }
 }
 
+/** A shorter time than the first would make most calls to the store renewals of watches. */
+private val APPLY_MS = 500L..60_000L
+
 private fun Validation.checkAddress(path: String, value: String) {
     check(path, parseAddress(value) != null) { "must be IP:PORT, but is \"$value\"" }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/GossipMessage.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/GossipMessage.kt
@@ -38,6 +38,9 @@
  * @property readsBinary True if the sender reads messages in the binary format of [GossipCodec].
  * @property quarantine What the sender knows of contents that may end backend servers, or null if
  *   it knows of none.
+ * @property operatorRevision Revision of the newest change of the operators' prefix of the store
+ *   that the sender has received, or 0.
+ * @property serversRevision The same for the prefix of the servers.
  */
 @Serializable
 internal data class GossipMessage(
@@ -60,7 +63,9 @@
     @ProtoNumber(17) val changes: List<OrderedLayerChange> = emptyList(),
     @ProtoNumber(18) val peers: List<String> = emptyList(),
     @ProtoNumber(19) val readsBinary: Boolean = false,
-    @ProtoNumber(20) val quarantine: QuarantineGossip? = null
+    @ProtoNumber(20) val quarantine: QuarantineGossip? = null,
+    @ProtoNumber(21) val operatorRevision: Long = 0,
+    @ProtoNumber(22) val serversRevision: Long = 0
 ) {
     /**
      * True if addresses, layers and counts are within their ranges. A datagram may come from
@@ -73,6 +78,7 @@
             changes.all { it.isValid() } &&
             loads.all { it.tokens in LOAD_TOKENS && it.streams >= 0 } &&
             minOf(firstSends, repeats) >= 0 &&
+            minOf(operatorRevision, serversRevision) >= 0 &&
             quarantine?.isValid() != false
 }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.router.state
 
+import org.jacinthlink.decision.watch.PendingWatch
+import org.jacinthlink.decision.watch.WatchRenewal
 import org.jacinthlink.platform.store.StoreAnswer
 import org.jacinthlink.platform.store.StoreChange
 import org.jacinthlink.platform.store.StoreChanges
@@ -21,8 +23,11 @@
 /**
  * Watches a prefix of the store: lists its items once, then waits for changes by long polling.
  *
- * @param waitMs Longest wait of one call; the store answers after this time without changes, so
- *   that a stalled connection is detected.
+ * The store answers a call after its waiting time even if nothing has changed, so that a silent
+ * connection is detected. [tick] ends calls that have become too old, or that have missed a change
+ * that a peer has received.
+ *
+ * @property waitMs Waiting time of the next call.
  * @param pauseMs Pause after changes, so that changes in quick succession share a call.
  */
 internal class PrefixWatcher(
@@ -30,24 +35,54 @@
     private val store: StoreClient,
     private val log: DecisionLog,
     private val prefix: String,
-    private val waitMs: Long,
     private val pauseMs: Long,
+    private var waitMs: Long,
     private val clockMs: () -> Long,
     private val listener: PrefixListener
 ) {
     private var failures = 0
     private var generation = 0
+    private var pending: PendingWatch? = null
+    private val renewal = WatchRenewal()
 
     /** When the store last confirmed the listener's state, or null before its first answer. */
     var confirmedAtMs: Long? = null
         private set
 
+    /** Revision of the newest change under the prefix that is known here, or 0. */
+    var changeRevision = 0L
+        private set
+
     /** Starts to watch the prefix, from a new listing. */
     fun start() {
         generation++
+        pending = null
         list(null, emptyList(), null, generation)
     }
 
+    /**
+     * Renews a watch that no longer seems to be answered; called periodically.
+     *
+     * @param waitMs Waiting time of further calls. A pending call that is older is renewed.
+     * @param peerRevision Revision of the newest change that a peer has received, or 0.
+     */
+    fun tick(nowMs: Long, waitMs: Long, peerRevision: Long) {
+        this.waitMs = waitMs
+        val watch = pending?.copy(limitMs = waitMs + store.timeoutMs) ?: return
+        val cause = renewal.cause(watch, peerRevision, nowMs) ?: return
+        log.event(
+            "watch_renewed",
+            "prefix" to prefix,
+            "cause" to cause.name.lowercase(),
+            "age_ms" to nowMs - watch.sentAtMs,
+            "revision" to watch.revision,
+            "peer_revision" to peerRevision
+        )
+        store.discardIdleConnections()
+        generation++
+        watch(watch.revision, generation)
+    }
+
     private fun list(
         after: String?,
         earlier: List<StoreItem>,
@@ -76,6 +111,7 @@
             list(page.items.last().key, items, revision, ownGeneration)
         } else {
             onConfirmed()
+            changeRevision = maxOf(changeRevision, items.maxOfOrNull { it.revision } ?: 0)
             // The listener comes last, so that a fault in it does not end the watch.
             watch(revision, ownGeneration)
             listener.onSnapshot(items)
@@ -83,8 +119,10 @@
     }
 
     private fun watch(revision: Long, ownGeneration: Int) {
+        pending = PendingWatch(revision, clockMs(), waitMs + store.timeoutMs)
         store.watch(prefix, revision, waitMs) { answer ->
             if (ownGeneration != generation) return@watch
+            pending = null
             when (answer) {
                 is StoreAnswer.Done -> onChanges(answer.value, revision, ownGeneration)
                 StoreAnswer.HistoryGone -> {
@@ -104,7 +142,10 @@
         } else {
             loop.schedule(pauseMs) { if (ownGeneration == generation) watch(next, ownGeneration) }
         }
-        changes.changes.forEach { listener.onChange(it) }
+        changes.changes.forEach {
+            changeRevision = maxOf(changeRevision, it.revision)
+            listener.onChange(it)
+        }
     }
 
     private fun onConfirmed() {
@@ -127,8 +168,10 @@
         loop.schedule(delayMs) { if (ownGeneration == generation) action() }
     }
 
-    private companion object {
-        const val FIRST_RETRY_MS = 100L
-        const val MAX_RETRY_MS = 800L
+    companion object {
+        /** Waiting time of a call if nothing requires a shorter one. */
+        const val MAX_WAIT_MS = 10_000L
+        private const val FIRST_RETRY_MS = 100L
+        private const val MAX_RETRY_MS = 800L
     }
 }
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/StoreWatches.kt
@@ -0,0 +1,51 @@
+package org.jacinthlink.router.state
+
+import org.jacinthlink.decision.watch.WatchingPeer
+import org.jacinthlink.decision.watch.renewsOften
+import org.jacinthlink.router.peers.GossipMessage
+
+/**
+ * The watches of a router on the store: of the operators' prefix and of the servers.
+ *
+ * @param instance Name of this router.
+ * @param applyMs Time within which a change takes effect.
+ */
+internal class StoreWatches(
+    private val instance: String,
+    private val operator: PrefixWatcher,
+    private val servers: PrefixWatcher,
+    private val applyMs: () -> Long
+) {
+    /** Revision of the newest change of the operators' prefix that is known here, or 0. */
+    val operatorRevision: Long get() = operator.changeRevision
+
+    /** Revision of the newest change of the servers that is known here, or 0. */
+    val serversRevision: Long get() = servers.changeRevision
+
+    /** Starts both watches. */
+    fun start() {
+        operator.start()
+        servers.start()
+    }
+
+    /** Time since the store last confirmed what is known of both prefixes; null before that. */
+    fun ageMs(nowMs: Long): Long? {
+        val operatorAtMs = operator.confirmedAtMs ?: return null
+        val serversAtMs = servers.confirmedAtMs ?: return null
+        return nowMs - minOf(operatorAtMs, serversAtMs)
+    }
+
+    /** Renews the watches that no longer seem to be answered; called periodically. */
+    fun tick(alive: List<GossipMessage>, nowMs: Long) {
+        val peers = alive.map { WatchingPeer(it.instance, it.storeAgeMs, it.isDraining) }
+        val isFrequent = renewsOften(instance, peers, FRESH_WAITS * applyMs())
+        val waitMs = if (isFrequent) applyMs() else PrefixWatcher.MAX_WAIT_MS
+        operator.tick(nowMs, waitMs, alive.maxOfOrNull { it.operatorRevision } ?: 0)
+        servers.tick(nowMs, waitMs, alive.maxOfOrNull { it.serversRevision } ?: 0)
+    }
+
+    private companion object {
+        /** A router that has missed one renewal in between no longer reads the store for others. */
+        const val FRESH_WAITS = 2
+    }
+}
--- a/router/src/test/kotlin/org/jacinthlink/router/peers/GossipCodecSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/GossipCodecSpec.kt
@@ -29,6 +29,8 @@
                 changes = listOf(OrderedLayerChange("i-7f3a91c2", 12, 3, null)),
                 peers = listOf("10.2.0.3", "10.3.0.4"),
                 readsBinary = true,
+                operatorRevision = 1_204,
+                serversRevision = 1_310,
                 quarantine =
                 QuarantineGossip(
                     listOf(
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -11,14 +11,18 @@
 /**
  * A router in this process, with stand-ins of the store, of the engines of two zones and of two
  * servers of the plain service `desk`.
+ *
+ * @param storeProxy Returns the address over which the routers reach the store at an address.
  */
 internal class RouterFixture(
     eventCount: Int = 5,
     eventIntervalMs: Long = 20,
-    private val peerPort: Int = 0
+    private val peerPort: Int = 0,
+    storeProxy: (String) -> String = { it }
 ) : AutoCloseable {
     private val loop: EventLoop = eventLoop("stand-ins")
     val store = StoreStandIn(loop)
+    private val routersStore = storeProxy(store.address.toString())
     val engines =
         listOf("a1" to "a", "a2" to "a", "b1" to "b", "b2" to "b")
             .map { (id, zone) -> EngineStandIn(loop, id, zone, eventCount, eventIntervalMs) }
@@ -104,7 +108,7 @@
             host = "127.0.0.1",
             peerPort = peerPort,
             metricsPort = 0,
-            store = store.address.toString()
+            store = routersStore
         )
 
     override fun close() {
@@ -127,13 +131,17 @@
     }
 }
 
-/** A configuration with three routes: a stream route, a safe route and an unsafe route. */
+/**
+ * A configuration with four routes: a stream route, one whose streams may run only once, a safe
+ * route and an unsafe route.
+ */
 internal fun configuration(version: Int = 1, keys: String = "\"key\""): String {
     fun route(path: String, kind: String, service: String, attempts: Int) =
         """{"name":"$path","host":"h.example","pathPrefix":"/$path/","kind":"$kind",
         "timeoutMs":3000,"targetLatencyMs":500,"priority":0,"service":"$service",
-        "maxAttempts":$attempts,"resumeStreams":${kind == "stream"},"targetGapMs":200}"""
+        "maxAttempts":$attempts,"resumeStreams":${path == "s"},"targetGapMs":200}"""
     return """{"version":$version,"routes":[${route("s", "stream", "model", 2)},
+        ${route("single", "stream", "model", 2)},
         ${route("safe", "safe", "desk", 2)},${route("once", "unsafe", "desk", 1)}],
         "services":[{"name":"model","engine":{"slots":134,"kvTokenBytes":100000,"stride":2,
         "models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":1000,"layers":8,
--- a/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
@@ -16,16 +16,16 @@
  */
 class BufferedCall(
     loop: EventLoop,
-    http: HttpClient,
-    request: ClientRequest,
-    timeoutMs: Long,
+    private val http: HttpClient,
+    private val request: ClientRequest,
+    private val timeoutMs: Long,
     private val onResult: (BufferedResult) -> Unit
 ) : ClientListener {
     private val body = http.responseMemory.buffer()
     private var status = 0
     private var headers = emptyList<HeaderField>()
     private val call = http.send(request, this)
-    private val timer = loop.schedule(timeoutMs) { fail("no answer within $timeoutMs ms") }
+    private val timer = loop.schedule(timeoutMs, ::expire)
 
     override fun onHead(status: Int, headers: List<HeaderField>) {
         this.status = status
@@ -43,6 +43,11 @@
         onResult(BufferedResult.Answered(status, headers, text))
     }
 
+    private fun expire() {
+        http.discardIdle(request.address)
+        fail("no answer within $timeoutMs ms")
+    }
+
     override fun onFailure(failure: CallFailure) = fail(failure.name.lowercase())
 
     private fun fail(cause: String) {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -22,6 +22,14 @@
         return call
     }
 
+    /**
+     * Closes the idle connections to [address], for example after a call without an answer:
+     * connections may fall silent together without a reset, while new ones work.
+     */
+    fun discardIdle(address: Address) {
+        idleConnections.remove(address)?.forEach { it.close() }
+    }
+
     internal fun returnToPool(connection: ClientConnection) {
         val idle = idleConnections.getOrPut(connection.address) { ArrayDeque() }
         if (idle.size < MAX_IDLE_PER_ADDRESS) idle.addLast(connection) else connection.close()
