Keep streams that may run only once at their server while it may still serve them

Cause: a stream left its path first and asked afterwards whether it may run again. The condition before a move looked at the attempt limit alone, and the move away from a server that does not answer probes had no condition. Change: a stream moves away from a draining or slow server only if it may be sent once more now, and from one that does not answer probes only if it may run more than once.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
@@ -31,13 +31,16 @@
  *
  * Load pattern: connections to the store fall silent without a reset, and a watch on them looks
  * like one without changes. A few routers find that out soon by short watches, and tell the others
- * of the changes. If all routers did so, most calls to the store of a large fleet would be renewals.
+ * of the changes. If all routers did so, most calls to the store of a large fleet would be
+ * renewals.
  *
  * @param freshMs Age of the last answer of the store up to which a peer counts as able to read it.
  */
 fun renewsOften(instance: String, peers: List<WatchingPeer>, freshMs: Long): Boolean =
     peers.count {
-        it.instance < instance && !it.isDraining && it.storeAgeMs != null &&
+        it.instance < instance &&
+            !it.isDraining &&
+            it.storeAgeMs != null &&
             it.storeAgeMs <= freshMs
     } < FREQUENT_ROUTERS
 
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterGossip.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterGossip.kt
@@ -21,9 +21,9 @@
 import org.jacinthlink.router.relay.PathTable
 import org.jacinthlink.router.relay.SlowServerDetector
 import org.jacinthlink.router.relay.StreamTable
-import org.jacinthlink.router.state.StoreWatches
 import org.jacinthlink.router.state.ConfigurationCache
 import org.jacinthlink.router.state.ServerRegistry
+import org.jacinthlink.router.state.StoreWatches
 
 /** Identity of a router in its gossip messages. */
 internal class RouterIdentity(val instance: String, val host: String, val startedAtMs: Long)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -1,7 +1,6 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.admission.QueueDecision
-import org.jacinthlink.decision.admission.WaitingRequest
 import org.jacinthlink.decision.admission.admissionQueue
 import org.jacinthlink.decision.fleet.ServiceDefinition
 
@@ -29,19 +28,12 @@
             stream.admitted()
             return
         }
+        val request = stream.toWaitingRequest()
         val pausedMs = paths.pausedMs(service, failureDetector.failed, nowMs)
-        if (nowMs + pausedMs > stream.arrivedAtMs + MAX_PAUSE_WAIT_MS) {
+        if (nowMs + pausedMs > request.arrivedAtMs + MAX_PAUSE_WAIT_MS) {
             stream.refused("servers paused", pausedMs)
             return
         }
-        val request =
-            WaitingRequest(
-                stream,
-                stream.priority,
-                stream.tokens,
-                stream.arrivedAtMs,
-                stream.targetMs
-            )
         val decision =
             queue.waiting.offer(request, nowMs, usualTokensPerMs(service), freeTokens(service))
         when (decision) {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.admission.WaitingRequest
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.retry.StreamAttempts
 import org.jacinthlink.transport.CallFailure
 import org.jacinthlink.transport.Timer
 
@@ -19,13 +21,7 @@
     private val pathSelection = PathSelection(context, request, tokens)
     private val failures = AttemptFailures(context, request)
     private var attempt: StreamAttempt? = null
-
-    /** Attempts that are running or may have run. */
-    private var possibleRuns = 0
-    private var attemptCount = 0
-
-    /** Attempts since the last event that no server has run. */
-    private var unrunAttempts = 0
+    private val attempts = StreamAttempts(request.route.isIdempotent)
     private val response = StreamResponse(request.exchange, request.info.lastEventId)
     private val ending = StreamEnding(request, response, ::finished)
     private var deadline: Timer? = null
@@ -50,8 +46,17 @@
     /** Expected time until the stream ends. */
     val remainingMs: Long get() = response.expectedRemainingMs(request.expectedEvents)
 
-    /** True if the stream may change to another path although its path works. */
-    val mayMove: Boolean get() = attempt?.let { pathSelection.mayLeave(it.path) } == true
+    /** True if the request may run more than once, so that the stream may be continued elsewhere. */
+    val mayRunAgain: Boolean get() = attempts.mayRunAgain
+
+    /**
+     * True if the stream may change to another path at [nowMs] although its path works. Otherwise
+     * leaving the path would end the response.
+     */
+    fun mayMove(nowMs: Long): Boolean =
+        attempts.mayRetry &&
+            attempt?.let { pathSelection.mayLeave(it.path) } == true &&
+            context.contents.harmfulIn(request.content, nowMs) == null
 
     /** Starts the relay. The request is sent when a path has capacity for it. */
     fun start() {
@@ -71,14 +76,11 @@
         }
     }
 
-    /** Rank of the request; 0 is the most urgent. */
-    val priority: Int get() = request.priority
-
-    /** When the request arrived. */
-    val arrivedAtMs: Long get() = request.startedAtMs
-
-    /** Target for the time from the arrival to the first event. */
-    val targetMs: Long get() = request.route.targetLatencyMs
+    /** This stream as a member of an admission queue. */
+    fun toWaitingRequest(): WaitingRequest<StreamRelay> =
+        with(request) {
+            WaitingRequest(this@StreamRelay, priority, tokens, startedAtMs, route.targetLatencyMs)
+        }
 
     /** Sends the request for the first time. */
     fun admitted() {
@@ -105,11 +107,11 @@
     private fun startNextAttempt(cause: String) {
         val nowMs = context.clockMs()
         val harmful = context.contents.harmfulIn(request.content, nowMs)
-        val path = pathSelection.next(nowMs, isRetry = attemptCount > 0)
+        val path = pathSelection.next(nowMs, isRetry = attempts.count > 0)
         when {
             harmful != null -> giveUp(HARMFUL_CONTENT, harmful.untilMs - nowMs)
             path == null -> waitForPath()
-            attemptCount > 0 && !context.retryBudget.tryRetry(nowMs) ->
+            attempts.count > 0 && !context.retryBudget.tryRetry(nowMs) ->
                 giveUp("retry budget")
             else -> send(path, cause, nowMs)
         }
@@ -118,7 +120,8 @@
     private fun waitForPath() {
         val nowMs = context.clockMs()
         val sinceLastEventMs = nowMs - (response.lastEventAtMs ?: request.startedAtMs)
-        val limitMs = if (attemptCount == 0) request.route.targetLatencyMs / 2 else MAX_EVENT_GAP_MS
+        val isFirst = attempts.count == 0
+        val limitMs = if (isFirst) request.route.targetLatencyMs / 2 else MAX_EVENT_GAP_MS
         if (sinceLastEventMs > limitMs) {
             giveUp("no path")
         } else {
@@ -127,10 +130,9 @@
     }
 
     private fun send(path: ServingPath, cause: String, nowMs: Long) {
-        if (attemptCount == 0) context.retryBudget.onFirstAttempt(nowMs)
-        attemptCount++
-        possibleRuns++
-        streamLog.sent(path, cause, attemptCount, response, nowMs)
+        if (attempts.count == 0) context.retryBudget.onFirstAttempt(nowMs)
+        attempts.sent()
+        streamLog.sent(path, cause, attempts.count, response, nowMs)
         val next =
             StreamAttempt(context.paths.reserve(path, tokens, nowMs), nowMs, AttemptCallbacks())
         attempt = next
@@ -149,14 +151,13 @@
             info.status == OK && !info.isSigned -> leavePath("unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
-            response.hasSentHead || mayRetry() -> leavePath("status ${info.status}")
+            response.hasSentHead || attempts.mayRetry -> leavePath("status ${info.status}")
             else -> Unit
         }
     }
 
     private fun notRun(current: StreamAttempt) {
-        possibleRuns--
-        unrunAttempts++
+        attempts.notRun()
         current.call?.cancel()
         ended(current)
         streamLog.notRun(current)
@@ -166,7 +167,7 @@
         // its caller does not use the budget, and interrupted streams need what is left of it.
         val mustSaveBudget =
             !response.hasSentHead && !context.retryBudget.allowsOptionalRetry(context.clockMs())
-        if (unrunAttempts >= MAX_UNRUN || mustSaveBudget) return giveUp("not run")
+        if (attempts.isRejectedTooOften || mustSaveBudget) return giveUp("not run")
         // A path that was full a moment ago is probably still full, so an immediate retry
         // would only use up the retry budget.
         retryLater(NOT_RUN_PAUSE_MS, "not run")
@@ -179,7 +180,7 @@
         if (!response.forward(events, current.info.status, current.callerHeaders, nowMs)) return
         if (isFirst) context.metrics.firstEvent(nowMs - request.startedAtMs)
         current.lastActivityAtMs = nowMs
-        unrunAttempts = 0
+        attempts.progressed()
         if (!current.hasEvents) {
             context.paths.answered(current.reservation)
             context.contents.begun(request.content, nowMs)
@@ -216,7 +217,7 @@
         streamLog.failed(current, cause, response)
         val isSuspect = !response.hasSentHead && failures.isSuspect(current)
         when {
-            !mayRetry() -> giveUp(cause)
+            !attempts.mayRetry -> giveUp(cause)
             isSuspect -> retryLater(LOSS_REPORT_MS, cause)
             else -> startNextAttempt(cause)
         }
@@ -226,11 +227,8 @@
         retry = context.loop.schedule(delayMs) { if (!isDone) startNextAttempt(cause) }
     }
 
-    private fun mayRetry(): Boolean =
-        request.route.isIdempotent && possibleRuns < MAX_RUNS && unrunAttempts < MAX_UNRUN
-
     private fun giveUp(cause: String, retryAfterMs: Long = RETRY_AFTER_MS) =
-        ending.giveUp(cause, retryAfterMs, mayHaveRun = possibleRuns > 0)
+        ending.giveUp(cause, retryAfterMs, mayHaveRun = attempts.mayHaveRun)
 
     private fun clientClosed() {
         if (!isDone) finished(0, "client gone")
@@ -246,7 +244,7 @@
         }
         streams.remove(this)
         context.admission.remove(this, request.service)
-        streamLog.ended(status, cause, attemptCount, response)
+        streamLog.ended(status, cause, attempts.count, response)
     }
 
     private fun ended(current: StreamAttempt) {
@@ -274,18 +272,13 @@
             if (this@StreamRelay.attempt !== attempt) return
             ended(attempt)
             failures.callFailed(attempt, failure)
-            if (attempt.wasUnsent) {
-                possibleRuns--
-                unrunAttempts++
-            }
+            if (attempt.wasUnsent) attempts.notRun()
             attemptFailed(attempt, failure.name.lowercase())
         }
     }
 
     private companion object {
         const val OK = 200
-        const val MAX_RUNS = 6
-        const val MAX_UNRUN = 6
 
         /** Callers abort a stream that has had no event for two seconds. */
         const val MAX_EVENT_GAP_MS = 1_900L
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
@@ -39,12 +39,14 @@
 
     /**
      * Moves the stalled streams away from paths through the unresponsive server at [address].
+     * Streams that may run only once stay: the server may still answer, and there is no other path
+     * for them.
      *
      * @param isNewlyDetected True when the server has just been found unresponsive; a shorter time
      *   without an event then counts as a stall.
      */
     fun moveFromUnresponsive(address: String, nowMs: Long, isNewlyDetected: Boolean) {
-        streams.filter { it.passesThrough { part -> part == address } }
+        streams.filter { it.mayRunAgain && it.passesThrough { part -> part == address } }
             .filter { shouldLeaveUnresponsiveServer(nowMs - it.lastActivityAtMs, isNewlyDetected) }
             .forEach { it.leavePath("server silent") }
     }
@@ -89,8 +91,8 @@
         val next = streams.firstOrNull { stream ->
             val home = stream.path?.home
             home != null &&
-                stream.mayMove &&
                 shouldLeave(stream) &&
+                stream.mayMove(nowMs) &&
                 hasAlternative(home, stream.tokens)
         } ?: return
         lastMoveMs = nowMs
@@ -113,8 +115,8 @@
             val sinceMs = stream.firstEventPendingSinceMs
             home != null &&
                 sinceMs != null &&
-                stream.mayMove &&
                 nowMs - sinceMs > FIRST_EVENT_LIMIT_MS &&
+                stream.mayMove(nowMs) &&
                 hasAlternative(home, stream.tokens)
         } ?: return
         next.leavePath("slow to begin")
