Bound the bodies and lines that the older HTTP client keeps

Operators report a caller that kept bytes without end and ran out of memory. Cause: OkHttpPeerClient read a body as one text and a stream line by line, both without a bound; a stream has no read timeout either. Change: a body or a line of more than 4 MiB fails the response. Result: EndlessResponseSpec failed before for a body (kept until the timeout) and for a line (no end within 5 s), and passes; a head was bounded already. The router's client is bounded (HttpClientSpec, ServerNoticesSpec).

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -46,7 +46,7 @@
     /** Expected time until the stream ends. */
     val remainingMs: Long get() = response.expectedRemainingMs(request.expectedEvents)
 
-    /** True if the request may run more than once, so that the stream may be continued elsewhere. */
+    /** True if the request may run more than once, so that it may continue elsewhere. */
     val mayRunAgain: Boolean get() = attempts.mayRunAgain
 
     /**
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -142,7 +142,7 @@
 }
 
 private fun answered(response: Response, sent: SentMarker): PeerResult {
-    val text = response.body!!.string()
+    val text = response.boundedText()
     sent.checkComplete(response)
     return PeerResult.Answered(response.code, response.headers.toMap(), text)
 }
@@ -164,7 +164,7 @@
     private fun readLines(response: Response) {
         listener.onStart(response.code, response.headers.toMap())
         val source = response.body!!.source()
-        while (true) listener.onLine(source.readUtf8Line() ?: return)
+        while (true) listener.onLine(source.boundedLine() ?: return)
     }
 }
 
