Reject requests early enough in a stop with a short grace time

Operators report requests that came late in a planned stop and were cut at its end, among them some that may not be repeated. Cause: a router took requests for 2.6 s after SIGTERM whatever the grace time was. Change: shutdownSchedule, a pure decision, rejects requests after 2.6 s or half of the time that is left for the process, whichever comes first. Nothing changes with the 8 s of the sites.

--- a/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
@@ -1,14 +1,15 @@
 package org.jacinthlink.router
 
 import java.util.concurrent.CompletableFuture
+import org.jacinthlink.decision.admission.shutdownSchedule
 import org.jacinthlink.transport.EventLoop
 
 /**
  * Ends the work of a router before its process ends.
  *
  * First releases the leadership, and lets each open client connection close after the next response
- * that starts on it. After [OUT_OF_ROTATION_MS], rejects new requests, closes idle connections and
- * waits for the requests in progress, until shortly before SIGKILL.
+ * that starts on it. Then, at the time that [shutdownSchedule] gives, rejects new requests, closes
+ * idle connections and waits for the requests in progress, until shortly before SIGKILL.
  *
  * @param onStarted Called on the event loop when the router starts to drain.
  */
@@ -26,13 +27,14 @@
      * @param rejectRequests Makes the router reject new requests.
      */
     fun run(graceMs: Long, rejectRequests: () -> Unit) {
-        val endsAtMs = clockMs() + graceMs - KILL_MARGIN_MS
+        val schedule = shutdownSchedule(graceMs)
+        val endsAtMs = clockMs() + schedule.endAfterMs
         loop.execute {
             onStarted()
             log.event("draining", "requests" to listeners.activeRequestCount)
             listeners.drain()
         }
-        Thread.sleep(OUT_OF_ROTATION_MS)
+        Thread.sleep(schedule.rejectAfterMs)
         loop.execute {
             rejectRequests()
             listeners.closeIdle()
@@ -50,12 +52,6 @@
     }
 
     private companion object {
-        /**
-         * An instance is taken out of use after two failed readiness checks, one second apart. A
-         * stream that started later would not end before the process does.
-         */
-        const val OUT_OF_ROTATION_MS = 2_600L
-        const val KILL_MARGIN_MS = 300L
         const val POLL_MS = 20L
     }
 }
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -95,6 +95,10 @@
     @Volatile
     var announcesDraining = false
 
+    /** Time for which a plain service works on a request. */
+    @Volatile
+    var workMs = 0L
+
     /** Part of a prompt that makes this engine crash when it begins to answer, or null. */
     @Volatile
     var deadlyPart: String? = null
@@ -194,7 +198,9 @@
             script == Script.Dripping -> drip(request, exchange)
             script == Script.Fail -> exchange.respond(500, headers(request), FAILURE.toByteArray())
             request.headers.valueOf("Hop-Count") != null -> stream(request, exchange)
-            else -> exchange.respond(200, headers(request), "ok:$instanceId".toByteArray())
+            else -> loop.schedule(workMs) {
+                exchange.respond(200, headers(request), "ok:$instanceId".toByteArray())
+            }
         }
     }
 
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -18,7 +18,8 @@
     eventCount: Int = 5,
     eventIntervalMs: Long = 20,
     private val peerPort: Int = 0,
-    storeProxy: (String) -> String = { it }
+    storeProxy: (String) -> String = { it },
+    private val shutdownGraceS: Double = 8.0
 ) : AutoCloseable {
     private val loop: EventLoop = eventLoop("stand-ins")
     val store = StoreStandIn(loop)
@@ -108,7 +109,8 @@
             host = "127.0.0.1",
             peerPort = peerPort,
             metricsPort = 0,
-            store = routersStore
+            store = routersStore,
+            shutdownGraceS = shutdownGraceS
         )
 
     override fun close() {
