Reject requests that were held for the first configuration once a router stops

Cause: requests that came before the first configuration were routed when it arrived, also by a router that rejected all others by then; at the end of the grace time they would be cut. Change: held requests are handled like new ones. Result: the last test of PlannedStopSpec failed before (200, the request ran) and passes (503, not run).

--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -44,9 +44,9 @@
         isClosed = true
     }
 
-    /** Routes the requests that arrived before the first configuration. */
+    /** Handles the requests that arrived before the first configuration. */
     fun onConfiguration() {
-        early.release { route(it.request, requestInfo(it.request), it.exchange) }
+        early.release { handle(it.request, it.exchange) }
     }
 
     private fun refuseEarly(request: ServerRequest, exchange: ServerExchange) {
--- a/router/src/test/kotlin/org/jacinthlink/router/PlannedStopSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/PlannedStopSpec.kt
@@ -2,12 +2,14 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveAtLeastSize
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldStartWith
 import java.util.concurrent.CompletableFuture
 import kotlin.concurrent.thread
 import org.jacinthlink.router.standins.RouterFixture
+import org.jacinthlink.router.standins.configuration
 
 /** A planned stop of one router while everything else works. */
 class PlannedStopSpec :
@@ -52,6 +54,21 @@
                     }
                 }
             }
+
+            // Guards against a request that is held until the first configuration and then passed
+            // on although the router rejects requests by now.
+            it("are refused if the first configuration comes after the last accepted request") {
+                RouterFixture(shutdownGraceS = 2.0, isConfigured = false).use { fixture ->
+                    val stop = thread { fixture.router.drain() }
+                    Thread.sleep(500)
+                    val answer = later { fixture.call("/once/x", "early") }
+                    Thread.sleep(500)
+                    fixture.store.write("op/config", configuration())
+                    answer.get() shouldStartWith "HTTP/1.1 503"
+                    fixture.plainServers.flatMap { it.runs }.shouldBeEmpty()
+                    stop.join()
+                }
+            }
         }
     })
 
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -19,7 +19,8 @@
     eventIntervalMs: Long = 20,
     private val peerPort: Int = 0,
     storeProxy: (String) -> String = { it },
-    private val shutdownGraceS: Double = 8.0
+    private val shutdownGraceS: Double = 8.0,
+    isConfigured: Boolean = true
 ) : AutoCloseable {
     private val loop: EventLoop = eventLoop("stand-ins")
     val store = StoreStandIn(loop)
@@ -31,7 +32,7 @@
     val router: Router
 
     init {
-        store.write("op/config", configuration())
+        if (isConfigured) store.write("op/config", configuration())
         engines.forEach { store.write("servers/${it.instanceId}", it.entry("model")) }
         plainServers.forEach { store.write("servers/${it.instanceId}", it.entry("desk")) }
         router = router(settings())
