Take any positive time for configuration changes, and bound the watch instead

Cause: a platform may state another time than the range that the check took, and the router would not have started there.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -105,7 +105,7 @@
             settings.instance,
             watch(OPERATOR_PREFIX, OPERATOR_PAUSE_MS, configuration),
             watch(SERVERS_PREFIX, SERVERS_PAUSE_MS, servers)
-        ) { this.settings.configurationApplyMs }
+        ) { this.settings.shortWatchMs }
     private val snapshotFetcher =
         SnapshotFetcher(loop, http, settings.peerPort, configuration, servers, log)
     private val gossip =
@@ -263,7 +263,7 @@
             log,
             prefix,
             pauseMs,
-            settings.configurationApplyMs,
+            settings.shortWatchMs,
             clockMs,
             listener
         )
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterSettings.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router
 
 import kotlinx.serialization.Serializable
+import org.jacinthlink.router.state.PrefixWatcher
 import org.jacinthlink.runtime.settings.Validation
 import org.jacinthlink.transport.parseAddress
 
@@ -17,7 +18,7 @@
  * @property seeds `IP:PORT` of instances that may be running; only the IP is used.
  * @property store `IP:PORT` of the platform's store.
  * @property shutdownGraceS Time between SIGTERM and SIGKILL, in seconds.
- * @property configurationApplyMs Time within which a change in the store takes effect.
+ * @property configurationApplyMs Time within which a change in the store takes effect, in ms.
  * @property serverDrainMs Time for which a draining backend server continues to serve.
  */
 @Serializable
@@ -35,7 +36,14 @@
     val configurationApplyMs: Long = 2_000,
     val serverDrainMs: Long = 2_000,
     val retryBudget: RetryBudgetSettings = RetryBudgetSettings()
-)
+) {
+    /** Waiting time of a call for changes if this router is to notice silent connections soon. */
+    internal val shortWatchMs: Long
+        get() = configurationApplyMs.coerceIn(MIN_WATCH_MS, PrefixWatcher.MAX_WAIT_MS)
+}
+
+/** With shorter waits, most calls to the store would be renewals of watches. */
+private const val MIN_WATCH_MS = 500L
 
 /**
  * Limit on retries of requests, over all routers.
@@ -62,15 +70,12 @@
     checkAddress("clients", settings.clients)
     checkAddress("readiness", settings.readiness)
     checkAddress("store", settings.store)
-    check("configurationApplyMs", settings.configurationApplyMs in APPLY_MS) {
-        "must be from ${APPLY_MS.first} to ${APPLY_MS.last} ms"
+    check("configurationApplyMs", settings.configurationApplyMs > 0) {
+        "must be positive, but is ${settings.configurationApplyMs}"
     }
     settings.seeds.forEachIndexed { i, seed -> checkAddress("seeds[$i]", seed) }
 }
 
-/** A shorter time than the first would make most calls to the store renewals of watches. */
-private val APPLY_MS = 500L..60_000L
-
 private fun Validation.checkAddress(path: String, value: String) {
     check(path, parseAddress(value) != null) { "must be IP:PORT, but is \"$value\"" }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/state/StoreWatches.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/StoreWatches.kt
@@ -8,13 +8,13 @@
  * The watches of a router on the store: of the operators' prefix and of the servers.
  *
  * @param instance Name of this router.
- * @param applyMs Time within which a change takes effect.
+ * @param shortWaitMs Waiting time of the calls of routers that renew their watches often.
  */
 internal class StoreWatches(
     private val instance: String,
     private val operator: PrefixWatcher,
     private val servers: PrefixWatcher,
-    private val applyMs: () -> Long
+    private val shortWaitMs: () -> Long
 ) {
     /** Revision of the newest change of the operators' prefix that is known here, or 0. */
     val operatorRevision: Long get() = operator.changeRevision
@@ -38,8 +38,8 @@
     /** Renews the watches that no longer seem to be answered; called periodically. */
     fun tick(alive: List<GossipMessage>, nowMs: Long) {
         val peers = alive.map { WatchingPeer(it.instance, it.storeAgeMs, it.isDraining) }
-        val isFrequent = renewsOften(instance, peers, FRESH_WAITS * applyMs())
-        val waitMs = if (isFrequent) applyMs() else PrefixWatcher.MAX_WAIT_MS
+        val isFrequent = renewsOften(instance, peers, FRESH_WAITS * shortWaitMs())
+        val waitMs = if (isFrequent) shortWaitMs() else PrefixWatcher.MAX_WAIT_MS
         operator.tick(nowMs, waitMs, alive.maxOfOrNull { it.operatorRevision } ?: 0)
         servers.tick(nowMs, waitMs, alive.maxOfOrNull { it.serversRevision } ?: 0)
     }
