Find a reset that hides behind the server's close

Cause: a JVM that closes a socket with unread bytes shuts down its output before it resets the connection. If the whole request has been handed to the system, no write is left to notice the reset, and a read after the close does not report it. Change: before the client takes an answer that ends with its connection as complete, it writes an empty line 2 ms after the close, if the request had a body. The write fails after a reset.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 
 /**
  * One connection to a server.
@@ -30,6 +31,7 @@
     private var wasPooled = false
     private var isKeepAlive = true
     private var poolAfterRead = false
+    private var isCheckingEnd = false
     private var usableUntilMs = Long.MAX_VALUE
     private var interimResponses = 0
 
@@ -96,7 +98,7 @@
 
     /** Closes the connection when the server has closed its side of it. */
     override fun userEventTriggered(ctx: ChannelHandlerContext, evt: Any) {
-        if (evt is ChannelInputShutdownEvent) connectionLost()
+        if (evt is ChannelInputShutdownEvent && !isCheckingEnd) connectionLost()
     }
 
     @Deprecated("deprecated in Netty")
@@ -139,7 +141,14 @@
     }
 
     private fun readEnd(current: ConnectionCall) {
-        if (!isComplete(current)) return connectionLost()
+        when (input.end) {
+            null -> completed(current)
+            InputEnd.BY_PEER -> checkEnd(current)
+            InputEnd.ABORTED -> connectionLost()
+        }
+    }
+
+    private fun completed(current: ConnectionCall) {
         call = null
         poolAfterRead = isKeepAlive && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
@@ -147,15 +156,25 @@
     }
 
     /**
-     * True unless the end of the connection has ended the response too early. A server that closes
-     * the connection before it has the whole request may have crashed.
+     * Completes the response that has ended with the connection, unless the server has closed the
+     * connection before it had read the whole request. It may have crashed then.
      */
-    private fun isComplete(current: ConnectionCall): Boolean =
-        when (input.end) {
-            null -> true
-            InputEnd.BY_PEER -> current.isSent
-            InputEnd.ABORTED -> false
+    private fun checkEnd(current: ConnectionCall) {
+        when {
+            !current.isSent -> connectionLost()
+            current.request.body.isEmpty() -> completed(current)
+            else -> {
+                isCheckingEnd = true
+                val check = Runnable { input.probe().addListener { endChecked(it.isSuccess) } }
+                ctx.executor().schedule(check, END_CHECK_MS, TimeUnit.MILLISECONDS)
+            }
         }
+    }
+
+    private fun endChecked(isOpen: Boolean) {
+        val current = call
+        if (isOpen && current != null && !current.isEnded) completed(current) else connectionLost()
+    }
 
     private fun updateKeepAliveTimeout(response: HttpResponse) {
         val timeoutS =
@@ -185,6 +204,9 @@
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD")
         const val MS_PER_S = 1_000L
 
+        /** The reset by a server that has not read all it was sent follows its close directly. */
+        const val END_CHECK_MS = 2L
+
         /** A server that sends more interim responses than this may never send the final one. */
         const val MAX_INTERIM_RESPONSES = 16
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputEndHandler.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputEndHandler.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.transport
 
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
@@ -25,6 +27,20 @@
     var end: InputEnd? = null
         private set
 
+    private lateinit var ctx: ChannelHandlerContext
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        this.ctx = ctx
+    }
+
+    /**
+     * Writes an empty line, which fails if the peer has reset the connection.
+     *
+     * After a close by the peer, a read no longer reports a reset that followed. Servers ignore an
+     * empty line between requests, and this peer sends no further response.
+     */
+    fun probe(): ChannelFuture = ctx.writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE))
+
     override fun userEventTriggered(ctx: ChannelHandlerContext, evt: Any) {
         if (evt is ChannelInputShutdownEvent) record(InputEnd.BY_PEER)
         ctx.fireUserEventTriggered(evt)
@@ -44,4 +60,8 @@
     private fun record(how: InputEnd) {
         if (end == null) end = how
     }
+
+    private companion object {
+        val EMPTY_LINE = "\r\n".toByteArray()
+    }
 }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/ConnectionEndSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/ConnectionEndSpec.kt
@@ -57,6 +57,16 @@
                 post(address, LONG_BODY_BYTES).outcome() shouldBe "200 ok CONNECTION_LOST"
             }
 
+            // Guards against a server that ends early and whose reset is hidden by the close before
+            // it: the system closes both directions of the connection one after the other.
+            it("fails when the server closes the connection without having read the request") {
+                val address = server {
+                    Thread.sleep(SETTLE_MS)
+                    it.close()
+                }
+                post(address, SHORT_BODY_BYTES).outcome() shouldBe "200 ok CONNECTION_LOST"
+            }
+
             // Guards against a truncated response that is taken as complete when this process
             // closes its connections.
             it("fails when the event loop of this process stops") {
@@ -100,6 +110,9 @@
 /** More than the buffers of a loopback connection hold. */
 private const val LONG_BODY_BYTES = 16 * 1_024 * 1_024
 
+/** Less than the buffers of any connection hold. */
+private const val SHORT_BODY_BYTES = 1_024
+
 /** Time for what has been sent to arrive and be processed. */
 private const val SETTLE_MS = 200L
 private const val STAYS_OPEN_MS = 10_000L
