Play stopped server processes beside changes of the configuration

Callers, as the users report once more: a whole request beside a change of the configuration gets neither an answer nor a refusal (LOST). They ask first whether it still shows.

The earlier reading shut servers up inside the process of the test, so nobody had seen what an operating system does for a stopped process. This one starts six servers as processes of their own and stops them by signals for 1.0 to 1.5 s, one or two at a time, while the configuration changes (times, keys, idle timeout) and the retry budget is nearly used up.

--- a/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
@@ -27,9 +27,7 @@
     fun start() {
         if (process?.isAlive == true) return
         file.writeText(ProtocolJson.encodeToString(RouterSettings.serializer(), settings))
-        val command =
-            listOf(File(System.getProperty("java.home"), "bin/java").path) + JVM_OPTIONS +
-                listOf("-cp", classPath(), "org.jacinthlink.router.MainKt", "--settings", "$file")
+        val command = jvmCommand("org.jacinthlink.router.MainKt", "--settings", "$file")
         process =
             ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(
@@ -51,24 +49,31 @@
     }
 
     /** Suspends the process with SIGSTOP. */
-    fun suspendProcess() = signal("STOP")
+    fun suspendProcess() {
+        process?.signal("STOP")
+    }
 
     /** Resumes a suspended process with SIGCONT. */
-    fun resumeProcess() = signal("CONT")
+    fun resumeProcess() {
+        process?.signal("CONT")
+    }
 
     override fun close() = kill()
+}
 
-    private fun signal(name: String) {
-        val pid = process?.takeIf { it.isAlive }?.pid() ?: return
-        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
-    }
+/** Command that runs [mainClass] of the test's class path in a small JVM. */
+internal fun jvmCommand(mainClass: String, vararg arguments: String): List<String> =
+    listOf(File(System.getProperty("java.home"), "bin/java").path) + JVM_OPTIONS +
+        listOf("-cp", classPath(), mainClass) + arguments
 
-    private companion object {
-        val JVM_OPTIONS =
-            listOf("-Xmx56m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
-    }
+/** Sends the signal [name] to the process if it is alive. */
+internal fun Process.signal(name: String) {
+    if (isAlive) ProcessBuilder("kill", "-$name", pid().toString()).start().waitFor()
 }
 
+private val JVM_OPTIONS =
+    listOf("-Xmx56m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+
 /**
  * Returns a TCP port of [host] that is free now.
  *
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
@@ -37,8 +37,11 @@
     val isUnanswered: Boolean
 )
 
-/** Sends requests over connections that are kept alive until a router closes them. */
-internal class SoakCaller {
+/**
+ * Sends requests with the deadline [deadlineMs] over connections that are kept alive until a router
+ * closes them.
+ */
+internal class SoakCaller(private val deadlineMs: Long = DEADLINE_MS) {
     private val client =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -77,7 +80,7 @@
             .method(kind.method, HttpRequest.BodyPublishers.ofString("hi"))
             .header("Host", "h.example")
             .header("Attempt-Id", id)
-            .header("Request-Deadline", DEADLINE_MS.toString())
+            .header("Request-Deadline", deadlineMs.toString())
             .header("Api-Key", "key")
             .header("Token-Counts", "100,20")
             .header("Tenant", "forged")
