Answer each held request although the handler fails for one of them

Callers: whole requests that a starting router held until it had its configuration got neither an answer nor a refusal, and no deadline ended them.

Cause: the held requests were released in one loop, outside of the guard that answers a request with 500 when its handler fails. A failure for one of them ended the loop, and all that stood behind it were forgotten.

Fix: the guard moves from the connection to the handler, and both ways use it.

--- a/router/src/main/kotlin/org/jacinthlink/router/EarlyRequests.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/EarlyRequests.kt
@@ -2,6 +2,7 @@
 
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.ServerExchange
+import org.jacinthlink.transport.ServerHandler
 import org.jacinthlink.transport.ServerRequest
 
 /** Holds requests that arrive before a starting router serves. */
@@ -23,13 +24,14 @@
     }
 
     /**
-     * Passes all held requests on, after clients that have given up meanwhile are recognized.
+     * Passes all held requests on to [handler], after clients that have given up meanwhile are
+     * recognized.
      */
-    fun release(onReleased: (EarlyRequest) -> Unit) {
+    fun release(handler: ServerHandler) {
         loop.executeAfterRead {
             val released = held.toList()
             held.clear()
-            released.forEach(onReleased)
+            released.forEach { handler.handleGuarded(it.request, it.exchange) }
         }
     }
 
@@ -40,4 +42,4 @@
 }
 
 /** A request that waits until the router serves. */
-internal class EarlyRequest(val request: ServerRequest, val exchange: ServerExchange)
+private class EarlyRequest(val request: ServerRequest, val exchange: ServerExchange)
--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -51,7 +51,7 @@
 
     /** Handles the requests that arrived too early, if this router now serves. */
     fun releaseEarly() {
-        if (!early.isEmpty && isServing()) early.release { handle(it.request, it.exchange) }
+        if (!early.isEmpty && isServing()) early.release(this)
     }
 
     private fun refuseEarly(request: ServerRequest, exchange: ServerExchange) {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
@@ -76,8 +76,7 @@
         onFinished(false)
     }
 
-    /** Answers with [status], or cuts the response if it has started. */
-    fun fail(status: Int) {
+    override fun fail(status: Int) {
         if (hasStarted) abort() else respond(status, emptyList(), ByteArray(0))
     }
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -161,20 +161,9 @@
             )
         if (pauses.isCatchingUp(monotonicMs())) {
             // The end of the connection is read after the request.
-            loop.executeAfterRead { handle(serverRequest, next) }
+            loop.executeAfterRead { if (next.isOpen) handler.handleGuarded(serverRequest, next) }
         } else {
-            handle(serverRequest, next)
-        }
-    }
-
-    /** A handler that fails leaves open whether the request has run. */
-    private fun handle(request: ServerRequest, to: ChannelExchange) {
-        if (!to.isOpen) return
-        try {
-            handler.handle(request, to)
-        } catch (e: Exception) {
-            reportFailure("handler of ${request.method} ${request.path}", e)
-            to.fail(INTERNAL_ERROR)
+            handler.handleGuarded(serverRequest, next)
         }
     }
 
@@ -206,7 +195,6 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
-        const val INTERNAL_ERROR = 500
         const val MAX_QUEUED_MESSAGES = 64
 
         /**
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
@@ -45,12 +45,32 @@
 
     /** Closes the connection, so that the client detects that a streamed response is incomplete. */
     fun abort()
+
+    /** Answers with [status], or cuts the response if it has started. */
+    fun fail(status: Int)
 }
 
 /** Receives the requests of a server. */
 fun interface ServerHandler {
     /** Handles [request] on the event loop and responds through [exchange]. */
     fun handle(request: ServerRequest, exchange: ServerExchange)
+
+    /**
+     * Handles [request], and answers it with status 500 if that fails. The status leaves open
+     * whether the request has run.
+     */
+    fun handleGuarded(request: ServerRequest, exchange: ServerExchange) {
+        try {
+            handle(request, exchange)
+        } catch (e: Exception) {
+            reportFailure("handler of ${request.method} ${request.path}", e)
+            exchange.fail(INTERNAL_ERROR)
+        }
+    }
+
+    private companion object {
+        const val INTERNAL_ERROR = 500
+    }
 }
 
 /**
