Reject responses whose status line is none of HTTP/1

Cause: Netty takes any number for a status and any protocol name for HTTP, OkHttp any three digits, and nothing checked the result. A status below 500 passed for the server's answer, with its signature and body.

Fix: the router's client decodes status lines strictly (HTTP/1.x, 100 to 599); an answer that fails is malformed, so a request that may run once gets 502 and any other may be repeated.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -25,7 +25,8 @@
 internal class ClientConnection(
     val address: Address,
     private val client: HttpClient,
-    private val input: InputEndHandler
+    private val input: InputEndHandler,
+    private val decoder: StrictResponseDecoder
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private var call: ConnectionCall? = null
@@ -52,6 +53,7 @@
         next.attach(ctx.channel())
         ctx.channel().config().isAutoRead = true
         val request = next.request
+        decoder.answersHead = request.method == "HEAD"
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 
 /** Sends HTTP/1.1 requests over pooled connections. It must be used on the event loop only. */
 class HttpClient internal constructor(private val loop: EventLoop) {
@@ -52,11 +52,12 @@
 
     private fun connect(call: ConnectionCall) {
         val input = InputEndHandler()
-        val connection = ClientConnection(call.request.address, this, input)
+        val decoder = StrictResponseDecoder()
+        val connection = ClientConnection(call.request.address, this, input, decoder)
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(input, HttpClientCodec(), connection)
+                    channel.pipeline().addLast(input, decoder, HttpRequestEncoder(), connection)
                 }
             }
         val connecting =
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -27,10 +27,10 @@
             return Address("127.0.0.1", listening.localPort)
         }
 
-        fun get(address: Address): RecordingListener {
+        fun get(address: Address, method: String = "GET"): RecordingListener {
             val listener = RecordingListener()
             val request =
-                ClientRequest(address, "GET", "/", listOf(HeaderField("Host", "h")), ByteArray(0))
+                ClientRequest(address, method, "/", listOf(HeaderField("Host", "h")), ByteArray(0))
             loop.call { client.send(request, listener) }
             listener.end.await()
             return listener
@@ -76,6 +76,27 @@
                 }
             }
 
+            // Guards against bytes that are no response in the protocol and pass for one.
+            it("fails when its status line is none of HTTP/1") {
+                INVALID_STATUS_LINES.forEach { line ->
+                    val outcome = get(server("$line\r\nContent-Length: 2\r\n\r\nok")).outcome()
+                    withClue(line) { outcome shouldBe "0  MALFORMED_ANSWER" }
+                }
+            }
+
+            it("is valid with any status that HTTP allows") {
+                listOf(200, 299, 300, 404, 418, 499, 500, 599).forEach { status ->
+                    val address =
+                        server("HTTP/1.1 $status \r\nContent-Length: 2\r\n\r\nok")
+                    get(address).outcome() shouldBe "$status ok complete"
+                }
+            }
+
+            it("to a HEAD request has no body") {
+                val address = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+                repeat(2) { get(address, "HEAD").outcome() shouldBe "200  complete" }
+            }
+
             // Guards against a surplus response that is taken for the response to the next request.
             it("is never a surplus response from a pooled connection") {
                 val surplus = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
@@ -155,6 +176,30 @@
         }
     })
 
+private val INVALID_STATUS_LINES =
+    listOf(
+        "HTTP/1.1 000 Unknown",
+        "HTTP/1.1 000",
+        "HTTP/1.1 0 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 0200 OK",
+        "HTTP/1.1 +200 OK",
+        "HTTP/1.1 -200 OK",
+        "HTTP/1.1 200OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 \u0662\u0660\u0660 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/11 200 OK",
+        "HTTQ/1.1 200 OK",
+        "http/1.1 200 OK",
+        "ICY 200 OK",
+        "200 OK"
+    )
+
 private fun serve(socket: Socket, answer: String, after: (Socket) -> Unit) {
     val input = socket.getInputStream().bufferedReader()
     while (true) {
