Count servers that answer among those that may run a request

Cause: a server that had broken off a stream and was no longer registered counted as ended. The entry of a leaving server is removed while it goes on, and it breaks streams off when another server of their path ends. Class: the absence of an entry is taken for the end of its server.

Fix: a server has ended if it is not registered and does not answer probes, or did not when its entry was removed. The cases of AttemptBoundSpec check the same with the new meaning of their argument: true is now "has ended", where it was "is registered".

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/AttemptBound.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/AttemptBound.kt
@@ -3,10 +3,11 @@
 /**
  * Limits the number of backend servers that may run one request.
  *
- * Without this limit, requests run too often in two cases: a router that is isolated by a network
- * partition treats live servers as failed, one after the other; or the registry entry of a server
- * is removed while the server continues with its requests. A server is left out of the count only
- * if it was unresponsive or broke off the response, and is no longer registered.
+ * Load patterns: a router that is isolated by a network partition treats live servers as failed,
+ * one after the other; or the registry entry of a server is removed while the server continues with
+ * its requests, and breaks some of them off because another server of their path has ended. A
+ * server is left out of the count only if it was unresponsive or broke off the response, and has
+ * ended since.
  */
 class AttemptBound internal constructor(
     private val maxServers: Int,
@@ -27,10 +28,13 @@
         if (interrupted) this.interrupted.add(address) else this.interrupted.remove(address)
     }
 
-    /** True if the request may be sent to the server at [address]. */
-    fun allows(address: String, isRegistered: (address: String) -> Boolean): Boolean =
-        address in ranOn ||
-            ranOn.count { it !in interrupted || isRegistered(it) } < maxServers
+    /**
+     * True if the request may be sent to the server at [address].
+     *
+     * @param hasEnded True if a server no longer runs. It must be false if that is uncertain.
+     */
+    fun allows(address: String, hasEnded: (address: String) -> Boolean): Boolean =
+        address in ranOn || ranOn.count { it !in interrupted || !hasEnded(it) } < maxServers
 
     /** This bound as it would be if the attempt at [address] ended because it is unresponsive. */
     fun ifInterruptedAt(address: String): AttemptBound =
--- a/decision/src/test/kotlin/org/jacinthlink/decision/retry/AttemptBoundSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/AttemptBoundSpec.kt
@@ -8,37 +8,37 @@
         describe("a request that two servers may run") {
             // Guards against a third run when a router that is isolated by a network partition
             // treats both servers as failed. This happened to four requests.
-            it("is not sent to a third server while both are registered") {
+            it("is not sent to a third server while both may run") {
                 val bound = attemptBound(2)
                 bound.recordAttempt("a", interrupted = true)
-                bound.allows("b") { true } shouldBe true
+                bound.allows("b") { false } shouldBe true
                 bound.recordAttempt("b", interrupted = true)
-                bound.allows("c") { true } shouldBe false
-                bound.allows("a") { true } shouldBe true
+                bound.allows("c") { false } shouldBe false
+                bound.allows("a") { false } shouldBe true
             }
 
-            it("may be sent to another server in place of one that is no longer registered") {
+            it("may be sent to another server in place of one that has ended") {
                 val bound = attemptBound(2)
                 bound.recordAttempt("a", interrupted = true)
                 bound.recordAttempt("b", interrupted = true)
-                bound.allows("c") { it != "a" } shouldBe true
+                bound.allows("c") { it == "a" } shouldBe true
             }
 
             // Guards against a third run while the first server, whose entry in the store was
             // removed, continues with the request. This happened to 13 requests.
-            it("is not sent to a third server after an optional move from an unregistered one") {
+            it("is not sent to a third server after an optional move from one that has ended") {
                 val bound = attemptBound(2)
                 bound.recordAttempt("a", interrupted = false)
                 bound.recordAttempt("b", interrupted = true)
-                bound.allows("c") { it != "a" } shouldBe false
+                bound.allows("c") { it == "a" } shouldBe false
             }
 
             it("shows without a move whether another server may run the request after it") {
                 val bound = attemptBound(2)
                 bound.recordAttempt("a", interrupted = true)
-                bound.ifInterruptedAt("b").allows("c") { true } shouldBe false
-                bound.ifInterruptedAt("b").allows("a") { true } shouldBe true
-                bound.allows("c") { true } shouldBe true
+                bound.ifInterruptedAt("b").allows("c") { false } shouldBe false
+                bound.ifInterruptedAt("b").allows("a") { false } shouldBe true
+                bound.allows("c") { false } shouldBe true
             }
 
             // Guards against optional moves that leave no other server when a server fails.
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/FailureDetector.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/FailureDetector.kt
@@ -34,6 +34,9 @@
     private val faults = HashMap<String, Fault>()
     private val pendingChecks = HashSet<String>()
 
+    /** When the entries of unresponsive servers were found to be removed, by address. */
+    private val endedAtMs = HashMap<String, Long>()
+
     /** Addresses of the excluded servers. */
     val failed: Set<String> get() = faults.keys.toSet()
 
@@ -51,6 +54,14 @@
     /** True if the server at [address] is unresponsive. */
     fun isUnresponsive(address: String): Boolean = faults[address]?.kind == FaultKind.SILENT
 
+    /**
+     * True if the server at [address] has ended: it is no longer registered and does not answer. A
+     * server that leaves may serve for a while after its entry has been removed, and one that does
+     * not answer may be behind a partition.
+     */
+    fun hasEnded(address: String): Boolean =
+        servers.at(address) == null && (isUnresponsive(address) || address in endedAtMs)
+
     /** True if the server at [address] refuses requests because it is draining or failing. */
     fun isDraining(address: String): Boolean = faults[address]?.kind == FaultKind.LEAVING
 
@@ -162,7 +173,11 @@
         }
     }
 
+    /** Forgets the fault of a server that is no longer registered, but not that it has ended. */
     private fun forget(address: String) {
+        val nowMs = clockMs()
+        endedAtMs.values.removeAll { nowMs - it > ENDED_RETENTION_MS }
+        if (isUnresponsive(address)) endedAtMs[address] = nowMs
         faults.remove(address)
         onChanged()
     }
@@ -193,6 +208,9 @@
         /** Reports are a few hundred ms old, so a full server may show some free memory. */
         const val FULL_SHARE = 0.85
 
+        /** Requests last for a shorter time. */
+        const val ENDED_RETENTION_MS = 60_000L
+
         /** A health check may have to wait for a free slot of the server. */
         const val HEALTH_TIMEOUT_MS = 250L
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
@@ -70,5 +70,5 @@
     }
 
     private fun AttemptBound.allows(path: ServingPath): Boolean =
-        allows(path.first.address) { context.servers.at(it) != null }
+        allows(path.first.address) { context.failureDetector.hasEnded(it) }
 }
