Take the ports of router tests outside the ephemeral range

Seen once: SilentStoreSpec, "follows a change of the configuration in time", ended after 0.2 s with "Address already in use".

Cause: its port came from a listener on port 0 that had been closed, so until the fixture bound it, any listener on port 0 and any outgoing connection could take it.

--- a/router/src/test/kotlin/org/jacinthlink/router/HarmfulPartSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/HarmfulPartSpec.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.router.relay.contentId
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.transport.valueOf
 
 class HarmfulPartSpec :
--- a/router/src/test/kotlin/org/jacinthlink/router/RestoredStoreSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RestoredStoreSpec.kt
@@ -12,6 +12,7 @@
 import org.jacinthlink.router.standins.StoreStandIn
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.router.state.PresentTime
 import org.jacinthlink.router.state.QuarantineStore
 import org.jacinthlink.transport.eventLoop
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -15,6 +15,7 @@
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.transport.valueOf
 
 class RouterSpec :
@@ -294,7 +295,5 @@
         }
     })
 
-internal fun freePort(): Int = java.net.ServerSocket(0).use { it.localPort }
-
 private fun org.jacinthlink.router.standins.EngineStandIn.Run.id(): String? =
     request.headers.valueOf("Attempt-Id")
--- a/router/src/test/kotlin/org/jacinthlink/router/ServerNoticesSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/ServerNoticesSpec.kt
@@ -9,6 +9,7 @@
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.freePort
 
 class ServerNoticesSpec :
     DescribeSpec({
@@ -41,7 +42,7 @@
 
             // Guards against routers that each learn from their own request that it is draining.
             it("gets no new requests from a router that a peer has told") {
-                RouterFixture(peerPort = freeLoopbackPort()).use { fixture ->
+                RouterFixture(peerPort = freePort()).use { fixture ->
                     fixture.awaitPaths()
                     val second = fixture.startSecond()
                     val draining = fixture.plainServers[0]
@@ -174,5 +175,3 @@
             }
         }
     })
-
-private fun freeLoopbackPort(): Int = java.net.ServerSocket(0).use { it.localPort }
--- a/router/src/test/kotlin/org/jacinthlink/router/SilentStoreSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/SilentStoreSpec.kt
@@ -5,6 +5,7 @@
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.standins.FaultProxy
 import org.jacinthlink.standins.ProxyListenerSettings
 import org.jacinthlink.standins.startFaultProxy
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
@@ -1,14 +1,10 @@
 package org.jacinthlink.router.soak
 
 import java.io.File
-import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.div
 import kotlin.io.path.writeText
-import kotlin.random.Random
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.router.RouterSettings
 
@@ -74,25 +70,5 @@
 private val JVM_OPTIONS =
     listOf("-Xmx56m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
-/**
- * Returns a TCP port of [host] that is free now.
- *
- * The port is below the range of ephemeral ports, so that no outgoing connection takes it before
- * the process starts. Otherwise the process may fail to bind it, as the second router did with
- * seed 15.
- */
-internal fun freePort(host: String): Int =
-    generateSequence { Random.nextInt(PORTS.first, PORTS.last) }.first { isFree(host, it) }
-
-private fun isFree(host: String, port: Int): Boolean =
-    try {
-        ServerSocket(port, 1, InetAddress.getByName(host)).close()
-        true
-    } catch (_: IOException) {
-        false
-    }
-
-private val PORTS = 20_000..32_000
-
 private fun classPath(): String =
     System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
@@ -5,6 +5,7 @@
 import org.jacinthlink.router.standins.EngineStandIn
 import org.jacinthlink.router.standins.StoreStandIn
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.standins.FaultProxy
 import org.jacinthlink.standins.ProxyFaults
 import org.jacinthlink.standins.ProxyListenerSettings
@@ -43,15 +44,15 @@
             server.forwardsActivations = { path -> unresponsiveAddresses.none { "$it=" in path } }
             register(server)
         }
-        val peerPort = freePort("127.0.0.1")
+        val peerPort = freePort()
         routers = List(ROUTERS) { index ->
             val host = "127.0.0.${index + 1}"
             RouterProcess(
                 RouterSettings(
                     instance = "r${index + 1}",
                     availabilityZone = "a",
-                    clients = "$host:${freePort(host)}",
-                    readiness = "$host:${freePort(host)}",
+                    clients = "$host:${freePort()}",
+                    readiness = "$host:${freePort()}",
                     host = host,
                     peerPort = peerPort,
                     metricsPort = 0,
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
@@ -14,6 +14,7 @@
 import org.jacinthlink.router.standins.StoreStandIn
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.transport.eventLoop
 
 /**
@@ -67,10 +68,10 @@
             RouterSettings(
                 instance = "suspended-$seed",
                 availabilityZone = "a",
-                clients = "$host:${freePort(host)}",
-                readiness = "$host:${freePort(host)}",
+                clients = "$host:${freePort()}",
+                readiness = "$host:${freePort()}",
                 host = host,
-                peerPort = freePort(host),
+                peerPort = freePort(),
                 metricsPort = 0,
                 store = store.address.toString(),
                 // Streams that leave a server use the budget up, so later ones have to stay.
