Give answers that are on their way the time to arrive

Class: what works is given up before what replaces it is certain.

A watch that is renewed stays open, the first answer counts, and each renewal without an answer doubles the time before the next.

WatchRenewalSpec has a new case for the doubling.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
@@ -48,9 +48,12 @@
  * Decides when a pending watch is renewed on a new connection.
  *
  * Load pattern: the connection of the watch has fallen silent, while peers receive changes or the
- * store returns from a copy. A peer that has not noticed such a return yet is never ahead.
+ * store returns from a copy. A peer that has not noticed such a return yet is never ahead. Or the
+ * answer is on its way, and a small router takes long to read it; then each renewal without an
+ * answer makes the next one wait for longer.
  */
 class WatchRenewal {
+    private val patience = growingPatience(PEER_LEAD_MS, MAX_PEER_LEAD_MS)
     private var peerPosition = StorePosition.START
     private var aheadSinceMs = 0L
 
@@ -72,13 +75,17 @@
         val isBehind = newestPeerPosition > maxOf(watch.position, renewedPosition)
         return when {
             nowMs - watch.sentAtMs > watch.limitMs -> RenewalCause.OVERDUE
-            isBehind && nowMs - maxOf(aheadSinceMs, watch.sentAtMs) > PEER_LEAD_MS -> {
+            isBehind && nowMs - maxOf(aheadSinceMs, watch.sentAtMs) > patience.limitMs -> {
                 renewedPosition = newestPeerPosition
+                patience.givenUp()
                 RenewalCause.PEER_AHEAD
             }
             else -> null
         }
     }
+
+    /** Records that the store has answered a watch. */
+    fun answered() = patience.answered()
 }
 
 /** One of them may be cut off from the store while the others are not. */
@@ -86,3 +93,4 @@
 
 /** The watches of two routers report a change within this time of one another. */
 private const val PEER_LEAD_MS = 800L
+private const val MAX_PEER_LEAD_MS = 6_400L
--- a/decision/src/test/kotlin/org/jacinthlink/decision/watch/WatchRenewalSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/watch/WatchRenewalSpec.kt
@@ -66,6 +66,21 @@
                 renewal.cause(watch.copy(sentAtMs = 2_700), at(12), 2_900) shouldBe null
             }
 
+            // Guards against a small router that asks for answers faster than it reads them.
+            it("waits twice as long after a renewal without an answer") {
+                val renewal = WatchRenewal()
+                val second = watch.copy(sentAtMs = 2_801, limitMs = 60_000)
+                renewal.cause(watch, at(12), 2_000)
+                renewal.cause(watch, at(12), 2_801) shouldBe RenewalCause.PEER_AHEAD
+                renewal.cause(second, at(13), 3_000) shouldBe null
+                renewal.cause(second, at(13), 4_600) shouldBe null
+                renewal.cause(second, at(13), 4_601) shouldBe RenewalCause.PEER_AHEAD
+                renewal.answered()
+                val third = PendingWatch(at(13), sentAtMs = 5_000, limitMs = 60_000)
+                renewal.cause(third, at(14), 5_000) shouldBe null
+                renewal.cause(third, at(14), 5_801) shouldBe RenewalCause.PEER_AHEAD
+            }
+
             // Guards against a watch that waits for revisions which the store gives out again.
             it("is renewed when a peer knows a later era of the store, at a lower revision") {
                 val renewal = WatchRenewal()
--- a/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router.peers
 
+import org.jacinthlink.decision.watch.growingPatience
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.router.state.ConfigurationCache
 import org.jacinthlink.router.state.ServerRegistry
@@ -23,12 +24,14 @@
     private val servers: ServerRegistry,
     private val log: DecisionLog
 ) {
+    private val patience = growingPatience(INITIAL_TIMEOUT_MS, MAX_TIMEOUT_MS)
     private var isFetching = false
     private var nextIndex = 0
 
     /**
      * Fetches a snapshot from a peer with a newer configuration or, if the store is unreachable,
-     * from a peer that has read the store more recently.
+     * from a peer that has read the store more recently. After each attempt that has failed,
+     * another peer is asked and given more time.
      *
      * @param ownStoreAgeMs Time since the store last answered this router, or null if it never did.
      * @param waitMs Longest wait of one call to the store.
@@ -38,7 +41,9 @@
         val ownVersion = configuration.current?.version ?: NO_VERSION
         val isStoreUnreachable = ownStoreAgeMs == null || ownStoreAgeMs > waitMs + UNREACHABLE_MS
         val peerWithNewerConfiguration =
-            peers.filter { it.version() > ownVersion }.maxByOrNull { it.version() }
+            peers.filter { it.version() > ownVersion }
+                .sortedByDescending { it.version() }
+                .let { if (it.isEmpty()) null else it[patience.givenUpCount % it.size] }
         when {
             peerWithNewerConfiguration != null ->
                 fetch(peerWithNewerConfiguration, isStoreUnreachable)
@@ -65,30 +70,47 @@
         val address = Address(peer.host, peerPort)
         val headers = listOf(HeaderField("Host", address.toString()))
         val request =
-            ClientRequest(address, "GET", "/snapshot", headers, ByteArray(0), false, TIMEOUT_MS)
-        BufferedCall(loop, http, request, TIMEOUT_MS.toLong()) { result ->
+            ClientRequest(
+                address,
+                "GET",
+                "/snapshot",
+                headers,
+                ByteArray(0),
+                connectTimeoutMs = CONNECT_TIMEOUT_MS
+            )
+        val timeoutMs = patience.limitMs
+        BufferedCall(loop, http, request, timeoutMs) { result ->
             isFetching = false
             val snapshot = (result as? BufferedResult.Answered)?.let { decodeSnapshot(it.text) }
             if (snapshot == null) {
-                log.event("snapshot_failed", "peer" to peer.instance, "result" to result)
+                patience.givenUp()
+                log.event(
+                    "snapshot_failed",
+                    "peer" to peer.instance,
+                    "result" to result,
+                    "limit_ms" to timeoutMs
+                )
             } else {
-                if (snapshot.configuration.isNotEmpty()) {
-                    configuration.read(snapshot.configuration.toByteArray(), peer.instance)
-                }
-                if (takesServers) {
-                    servers.replaceAll(
-                        snapshot.servers.mapNotNull {
-                            it.toBackendServer()
-                        }
-                    )
-                }
+                patience.answered()
+                apply(snapshot, peer, takesServers)
             }
         }
     }
 
+    private fun apply(snapshot: PeerSnapshot, peer: GossipMessage, takesServers: Boolean) {
+        if (snapshot.configuration.isNotEmpty()) {
+            configuration.read(snapshot.configuration.toByteArray(), peer.instance)
+        }
+        if (takesServers) {
+            servers.replaceAll(snapshot.servers.mapNotNull { it.toBackendServer() })
+        }
+    }
+
     private companion object {
         const val NO_VERSION = -1L
-        const val TIMEOUT_MS = 500
+        const val CONNECT_TIMEOUT_MS = 500
+        const val INITIAL_TIMEOUT_MS = 500L
+        const val MAX_TIMEOUT_MS = 4_000L
 
         /**
          * The store answers within a few ms after its longest wait. If the answer takes this much
--- a/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
@@ -42,7 +42,12 @@
     private val listener: PrefixListener
 ) {
     private var failures = 0
+
+    /** Identifies the calls whose answers are still of use. */
     private var generation = 0
+
+    /** Number of calls of this [generation] that wait for changes; a renewal adds one. */
+    private var openWatches = 0
     private var pending: PendingWatch? = null
     private val renewal = WatchRenewal()
 
@@ -62,14 +67,11 @@
     }
 
     /** Starts to watch the prefix, from a new listing. */
-    fun start() {
-        generation++
-        pending = null
-        list(null, emptyList(), null, generation)
-    }
+    fun start() = list(null, emptyList(), null, nextGeneration())
 
     /**
-     * Renews a watch that no longer seems to be answered; called periodically.
+     * Renews a watch that no longer seems to be answered; called periodically. The former call may
+     * still be answered, and the first answer counts.
      *
      * @param waitMs Waiting time of further calls. A pending call that is older is renewed.
      * @param peerPosition Position of the newest change that a peer has received.
@@ -89,10 +91,16 @@
             "peer_revision" to peerPosition.revision
         )
         store.discardIdleConnections()
-        generation++
         watch(watch.position.revision, generation)
     }
 
+    /** Makes the answers to all former calls be ignored. */
+    private fun nextGeneration(): Int {
+        pending = null
+        openWatches = 0
+        return ++generation
+    }
+
     private fun onRestored() {
         log.event(
             "store_restored",
@@ -142,20 +150,32 @@
     private fun watch(revision: Long, ownGeneration: Int) {
         val position = StorePosition(store.era, revision)
         pending = PendingWatch(position, clockMs(), waitMs + store.timeoutMs)
+        openWatches++
         store.watch(prefix, revision, waitMs) { answer ->
-            if (ownGeneration != generation) return@watch
-            pending = null
-            when (answer) {
-                is StoreAnswer.Done -> onChanges(answer.value, revision, ownGeneration)
-                StoreAnswer.HistoryGone -> {
-                    log.event("store_history_gone", "prefix" to prefix, "revision" to revision)
-                    start()
-                }
-                else -> retry("watch", answer, ownGeneration) { watch(revision, ownGeneration) }
+            if (ownGeneration == generation) onWatchAnswer(answer, revision)
+        }
+    }
+
+    private fun onWatchAnswer(answer: StoreAnswer<StoreChanges>, revision: Long) {
+        openWatches--
+        when (answer) {
+            is StoreAnswer.Done -> {
+                renewal.answered()
+                onChanges(answer.value, revision, nextGeneration())
             }
+            StoreAnswer.HistoryGone -> {
+                log.event("store_history_gone", "prefix" to prefix, "revision" to revision)
+                start()
+            }
+            else -> if (openWatches == 0) onWatchFailed(answer, revision)
         }
     }
 
+    private fun onWatchFailed(answer: StoreAnswer<StoreChanges>, revision: Long) {
+        val ownGeneration = nextGeneration()
+        retry("watch", answer, ownGeneration) { watch(revision, ownGeneration) }
+    }
+
     private fun onChanges(changes: StoreChanges, revision: Long, ownGeneration: Int) {
         onConfirmed()
         val next = maxOf(revision, changes.revision)
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/SnapshotFetcherSpec.kt
@@ -0,0 +1,70 @@
+package org.jacinthlink.router.peers
+
+import io.kotest.core.spec.style.DescribeSpec
+import org.jacinthlink.api.ProtocolJson
+import org.jacinthlink.router.decisionLog
+import org.jacinthlink.router.standins.WIDE_LIMITS
+import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.freePort
+import org.jacinthlink.router.state.ConfigurationCache
+import org.jacinthlink.router.state.ServerRegistry
+import org.jacinthlink.transport.Address
+import org.jacinthlink.transport.ServerHandler
+import org.jacinthlink.transport.eventLoop
+import org.jacinthlink.transport.httpClient
+import org.jacinthlink.transport.listen
+
+class SnapshotFetcherSpec :
+    DescribeSpec({
+        val loop = eventLoop("test")
+
+        afterSpec { loop.stop() }
+
+        val snapshot =
+            ProtocolJson.encodeToString(
+                PeerSnapshot.serializer(),
+                PeerSnapshot(configuration(2), emptyList())
+            ).toByteArray()
+
+        /** Fetches from the routers of [peers] until their configuration has been read. */
+        fun fetch(port: Int, peers: List<GossipMessage>) {
+            val log = decisionLog("r")
+            val configurations = ConfigurationCache(log) {}
+            val servers = ServerRegistry(log, { System.nanoTime() / 1_000_000 }) {}
+            val fetcher =
+                SnapshotFetcher(loop, httpClient(loop), port, configurations, servers, log)
+            val ticks = loop.repeat(50) { fetcher.tick(peers, ownStoreAgeMs = 0, waitMs = 1_000) }
+            try {
+                await(5_000) { configurations.current?.version == 2L }
+            } finally {
+                ticks.cancel()
+            }
+        }
+
+        fun peer(host: String) = GossipMessage(host, host, 1, configurationVersion = 2)
+
+        describe("the snapshot of a peer with a newer configuration") {
+            // Guards against a small router that falls behind for good because it gives up each
+            // snapshot that is on its way, and asks for the same again.
+            it("is taken although it takes longer than usual") {
+                val handler = ServerHandler { _, exchange ->
+                    loop.schedule(SLOW_MS) { exchange.respond(200, emptyList(), snapshot) }
+                }
+                val listener = listen(loop, Address("127.0.0.1", 0), { WIDE_LIMITS }, handler)
+                fetch(listener.port, listOf(peer("127.0.0.1")))
+            }
+
+            it("is fetched from another one if the first peer is silent") {
+                val port = freePort()
+                listen(loop, Address("127.0.0.1", port), { WIDE_LIMITS }) { _, _ -> }
+                listen(loop, Address("127.0.0.2", port), { WIDE_LIMITS }) { _, exchange ->
+                    exchange.respond(200, emptyList(), snapshot)
+                }
+                fetch(port, listOf(peer("127.0.0.1"), peer("127.0.0.2")))
+            }
+        }
+    })
+
+/** Longer than the first attempt waits. */
+private const val SLOW_MS = 800L
