Renew a silent watch also while changes keep coming

A router whose watch has fallen silent is told by its peers' revisions that it misses changes.

Cause: the time for which a peer had been ahead began anew with each further change, so while changes came more often than every 0.8 s the watch was never renewed for that, only when its own time of up to 10 s was up.

Fix: the time begins when a peer is first ahead of the pending watch. A watch that is answered in between is not renewed, as its call is young.

WatchRenewalSpec, a change every 100 ms: never renewed before, now once after 0.8 s; a second case keeps an answered watch from being renewed.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/watch/WatchRenewal.kt
@@ -54,8 +54,9 @@
  */
 class WatchRenewal {
     private val patience = growingPatience(PEER_LEAD_MS, MAX_PEER_LEAD_MS)
-    private var peerPosition = StorePosition.START
-    private var aheadSinceMs = 0L
+
+    /** Since when a peer is ahead of the pending watch, or null if none is. */
+    private var aheadSinceMs: Long? = null
 
     /** Latest position of a peer for which a watch has been renewed. */
     private var renewedPosition = StorePosition.START
@@ -70,13 +71,14 @@
         newestPeerPosition: StorePosition,
         nowMs: Long
     ): RenewalCause? {
-        if (newestPeerPosition > peerPosition) aheadSinceMs = nowMs
-        peerPosition = newestPeerPosition
         val isBehind = newestPeerPosition > maxOf(watch.position, renewedPosition)
+        val sinceMs = if (isBehind) aheadSinceMs ?: nowMs else null
+        aheadSinceMs = sinceMs
         return when {
             nowMs - watch.sentAtMs > watch.limitMs -> RenewalCause.OVERDUE
-            isBehind && nowMs - maxOf(aheadSinceMs, watch.sentAtMs) > patience.limitMs -> {
+            sinceMs != null && nowMs - maxOf(sinceMs, watch.sentAtMs) > patience.limitMs -> {
                 renewedPosition = newestPeerPosition
+                aheadSinceMs = null
                 patience.givenUp()
                 RenewalCause.PEER_AHEAD
             }
--- a/decision/src/test/kotlin/org/jacinthlink/decision/watch/WatchRenewalSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/watch/WatchRenewalSpec.kt
@@ -81,6 +81,27 @@
                 renewal.cause(third, at(14), 5_801) shouldBe RenewalCause.PEER_AHEAD
             }
 
+            // Guards against a silent watch that is waited for as long as changes keep coming.
+            it("is renewed although peers receive further changes all the time") {
+                val renewal = WatchRenewal()
+                val causes = (2_000L..2_900L step 100).map { nowMs ->
+                    renewal.cause(watch, at(nowMs), nowMs)
+                }
+                causes.last() shouldBe RenewalCause.PEER_AHEAD
+                causes.count { it != null } shouldBe 1
+            }
+
+            // Guards against renewals of a watch that gets changes a moment after its peers.
+            it("waits while it is answered, although peers are ahead all the time") {
+                val renewal = WatchRenewal()
+                val causes = (2_000L..6_000L step 100).map { nowMs ->
+                    renewal.answered()
+                    val next = PendingWatch(at(nowMs - 150), sentAtMs = nowMs - 50, limitMs = 3_000)
+                    renewal.cause(next, at(nowMs), nowMs)
+                }
+                causes.filterNotNull() shouldBe emptyList()
+            }
+
             // Guards against a watch that waits for revisions which the store gives out again.
             it("is renewed when a peer knows a later era of the store, at a lower revision") {
                 val renewal = WatchRenewal()
