--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -17,6 +17,7 @@
     private val onDone: () -> Unit
 ) : ChatAttempt.Listener {
     private val context: EntryContext = parts.context
+    private val recorder = ChatRecorder(context, job)
     private val tokens = ArrayList<String>()
     private val ends = ArrayList<AttemptEnd>()
     private val search = HeadSearch(parts.heads, job.chat.model)
@@ -28,7 +29,6 @@
     private var permit: RunMode? = null
     private var isAskingPermit = false
     private var isWaitingForPermit = false
-    private var firstTokenMs: Long? = null
     private var lastTokenAtMs = 0L
 
     // Time of the first acceptance or of the latest token.
@@ -82,18 +82,11 @@
         }
         leave(attempt)
         attempt.call?.cancel()
-        if (isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
+        if (RetryRules.isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
         ends += end
         search.failed(attempt.head.instance, now())
-        record(
-            "dispatch_failed",
-            "head" to attempt.head.instance.value,
-            "attempt" to attempt.number,
-            "fate" to end.fate,
-            "code" to end.refusal?.code,
-            "cause" to end.cause
-        )
-        if (isRetried(end)) dispatch() else fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+        recorder.attemptFailed(attempt, end)
+        if (isRetried(end)) dispatch() else fail(failure())
         if (end.fate != AttemptOutcome.NOT_RUN && end.refusal == null) cancel(attempt)
     }
 
@@ -112,13 +105,10 @@
         }
         val nowMs = now()
         if (tokens.isEmpty()) {
-            val elapsedMs = nowMs - job.receivedAtMs
             parts.crashes.begun(job.chat, nowMs)
-            firstTokenMs = elapsedMs
-            record("first_token", "elapsed_ms" to elapsedMs)
-            context.metrics.firstToken(className(), elapsedMs)
+            recorder.firstToken(nowMs - job.receivedAtMs)
         } else {
-            context.metrics.tokenGap(className(), nowMs - lastTokenAtMs)
+            recorder.nextToken(nowMs - lastTokenAtMs)
         }
         lastTokenAtMs = nowMs
         lastProgressAtMs = nowMs
@@ -180,18 +170,10 @@
         }
     }
 
-    private fun quarantined(): ChatFailure {
-        val message = "the request crashed two backend servers"
-        val notRun = RetryRules.failure(ends, tokens.isNotEmpty()).notRun
-        return ChatFailure(
-            ResultCode.QUARANTINED,
-            "$message; fingerprint ${job.chat.fingerprint}",
-            notRun
-        )
-    }
+    private fun quarantined(): ChatFailure = failure().quarantined(job.chat.fingerprint)
 
-    private fun isFaultOfHead(end: AttemptEnd): Boolean =
-        end.refusal == null || end.refusal.code in BROKEN
+    /** How the request would fail if it ended now. */
+    private fun failure(): ChatFailure = RetryRules.failure(ends, tokens.isNotEmpty())
 
     private fun isRetried(end: AttemptEnd): Boolean =
         if (wasAccepted && end.fate == AttemptOutcome.NOT_RUN) {
@@ -205,7 +187,7 @@
 
     private fun dispatch() {
         val remainingMs = remainingMs()
-        if (remainingMs <= 0) return fail(tooLate())
+        if (remainingMs <= 0) return fail(failure().tooLate(job.caller.workClass.targetMs))
         val mode = parts.crashes.mode(job.chat, now())
         if (mode == RunMode.REFUSED) return fail(quarantined())
         val permitted = permit ?: return askPermit()
@@ -214,17 +196,7 @@
         val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
         attempt = next
         parts.heads.loads.sent(head.instance)
-        if (next.number > 0) context.metrics.retried()
-        record(
-            "head_chosen",
-            "head" to head.instance.value,
-            "zone" to head.availabilityZone,
-            "attempt" to next.number,
-            "isolated" to isolated
-        )
-        if (tokens.isNotEmpty()) {
-            record("stream_resumed", "head" to head.instance.value, "from_token" to tokens.size)
-        }
+        recorder.headChosen(next, isolated, tokens.size)
         next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
     }
 
@@ -252,7 +224,7 @@
     private fun waitForPermit() {
         isWaitingForPermit = true
         if (wasAccepted && !mayWaitForProgress()) {
-            fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+            fail(failure())
         }
     }
 
@@ -264,7 +236,7 @@
                 search.waitedMs(now()) >= MAX_HEAD_WAIT_MS
             }
         if (RetryRules.isFull(ends) || isOver) {
-            fail(RetryRules.failure(ends, tokens.isNotEmpty()))
+            fail(failure())
         }
     }
 
@@ -274,14 +246,6 @@
         return if (wasAccepted) maxOf(remainingMs, RESUME_TIME_MS) else remainingMs
     }
 
-    private fun tooLate(): ChatFailure {
-        val failure = RetryRules.failure(ends, tokens.isNotEmpty())
-        val message = "the target of ${job.caller.workClass.targetMs} ms passed: ${failure.message}"
-        val code =
-            if (failure.notRun) ResultCode.DEADLINE_UNREACHABLE else ResultCode.DEADLINE_EXCEEDED
-        return ChatFailure(code, message, failure.notRun, failure.retryAfterMs)
-    }
-
     @Synchronized
     private fun callerGone() {
         if (done) return
@@ -291,8 +255,7 @@
         }
         done = true
         parts.permits.ended(job.chat.fingerprint, job.requestId)
-        record("caller_gone", "tokens" to tokens.size, "attempts" to attemptCount)
-        context.metrics.callerGone(className(), attemptCount)
+        recorder.callerGone(tokens.size, attemptCount)
         onDone()
     }
 
@@ -309,29 +272,10 @@
     private fun finish(failure: ChatFailure?) {
         done = true
         parts.permits.ended(job.chat.fingerprint, job.requestId)
-        record(
-            "request_ended",
-            "code" to (failure?.code ?: "OK"),
-            "not_run" to failure?.notRun,
-            "tokens" to tokens.size,
-            "attempts" to attemptCount,
-            "elapsed_ms" to now() - job.receivedAtMs
-        )
-        context.metrics.ended(
-            className(),
-            failure?.code,
-            attemptCount,
-            failure?.notRun ?: false,
-            firstTokenMs
-        )
+        recorder.ended(failure, tokens.size, attemptCount, now())
         onDone()
     }
 
-    private fun record(name: String, vararg fields: Pair<String, Any?>) =
-        context.eventLog.record(name, job.requestId, *fields)
-
-    private fun className() = job.caller.workClass.name
-
     private fun now() = context.clock.nowMs()
 
     private companion object {
@@ -341,13 +285,6 @@
         // The loss of a head is to be repaired within two seconds.
         const val RESUME_TIME_MS = 2_000L
 
-        val BROKEN =
-            setOf(
-                ResultCode.NO_BACKEND_SERVER,
-                ResultCode.STREAM_FAILED,
-                ResultCode.INTERNAL_ERROR
-            )
-
         // A crashed backend server or a lost zone is back or replaced within this time.
         const val MAX_RESUME_WAIT_MS = 10_000L
 
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatResponder.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatResponder.kt
@@ -26,4 +26,16 @@
     val message: String,
     val notRun: Boolean,
     val retryAfterMs: Long = 0
-)
+) {
+    /** This failure, for a request with [fingerprint] that has crashed backend servers. */
+    fun quarantined(fingerprint: String): ChatFailure {
+        val message = "the request crashed two backend servers; fingerprint $fingerprint"
+        return ChatFailure(ResultCode.QUARANTINED, message, notRun)
+    }
+
+    /** This failure, for a request that is past its target of [targetMs]. */
+    fun tooLate(targetMs: Long): ChatFailure {
+        val code = if (notRun) ResultCode.DEADLINE_UNREACHABLE else ResultCode.DEADLINE_EXCEEDED
+        return copy(code = code, message = "the target of $targetMs ms passed: $message")
+    }
+}
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/RetryRules.kt
@@ -19,6 +19,12 @@
     // A third full head tells that the model is full, not that the choice was unlucky.
     private const val MAX_FULL_HEADS = 3
 
+    private val FAULTS_OF_HEAD =
+        setOf(
+            ResultCode.NO_BACKEND_SERVER,
+            ResultCode.STREAM_FAILED,
+            ResultCode.INTERNAL_ERROR
+        )
     private val FULL = setOf(ResultCode.OVERLOADED, ResultCode.DEADLINE_UNREACHABLE)
     private val RETRYABLE =
         FULL +
@@ -47,6 +53,10 @@
     fun isRetryable(end: AttemptEnd): Boolean =
         end.refusal.let { it == null || it.code in RETRYABLE || it.backendServerCrashed }
 
+    /** True if the head, and not its load or the request, is at fault for [end]. */
+    fun isFaultOfHead(end: AttemptEnd): Boolean =
+        end.refusal == null || end.refusal.code in FAULTS_OF_HEAD
+
     /** True if an attempt after [end] takes from the retry budget. */
     fun isCharged(end: AttemptEnd): Boolean =
         end.fate != AttemptOutcome.NOT_RUN || end.refusal?.code in FULL
