--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -15,7 +15,6 @@
 import org.jacinthlink.api.WorkClass
 import org.jacinthlink.decision.routing.AdmissionDecision
 import org.jacinthlink.decision.routing.FlowStage
-import org.jacinthlink.decision.routing.QueuedRequest
 import org.jacinthlink.decision.routing.applyQueueDiscipline
 import org.jacinthlink.runtime.Clock
 import org.jacinthlink.runtime.events.EventLog
@@ -70,7 +69,8 @@
     /** Takes a new stream; [sink] receives its events. */
     fun open(open: StreamOpen, sink: PushSink) {
         val nowMs = clock.nowMs()
-        val stream = HeadStream(open, queuedRequest(open, nowMs), sink)
+        val request = applyQueueDiscipline(registry.policy, open.toQueuedRequest(nowMs))
+        val stream = HeadStream(open, request, sink)
         events.record(
             "stream_opened",
             open.stream.requestId,
@@ -133,10 +133,8 @@
             .forEach { end(it, null, "cancelled") }
     }
 
-    override fun onTokens(tokens: List<SampledToken>): List<StreamKey> {
-        val unknown = tokens.filterNot { onToken(it) }
-        return unknown.map { it.stream }
-    }
+    override fun onTokens(tokens: List<SampledToken>): List<StreamKey> =
+        tokens.filterNot { onToken(it) }.map { it.stream }
 
     // Returns false if the stream does not run here. Prefill steps sample tokens at positions of
     // the prompt; these, and repeated tokens, are passed over.
@@ -188,20 +186,12 @@
         fail(key, "the first stage refuses the stream")
     }
 
-    private fun notFed(firstPosition: Int) =
-        StreamEvent.Refused(
-            if (firstPosition == 0) ResultCode.NO_BACKEND_SERVER else ResultCode.STREAM_FAILED,
-            "the backend server lost its state",
-            notRun = firstPosition == 0
-        )
-
     override fun onFault(fault: StageFault) {
         for (key in fault.streams) {
             val isAffected = withRunning(key) { it.usesRecently(fault.stage, clock.nowMs()) }
             when {
                 isAffected != true -> Unit
-                fault.backendServerCrashed ->
-                    end(key, crashed(fault), "backend_server_crashed")
+                fault.backendServerCrashed -> end(key, crashed(fault), "backend_server_crashed")
                 fault.stage == self.instance -> end(key, failed(fault.message), "stage_failed")
                 else -> onStagesFailed(key, setOf(fault.stage))
             }
@@ -301,37 +291,9 @@
         if (stream.visited.isNotEmpty()) executor.execute(::startNext)
     }
 
-    private fun queuedRequest(open: StreamOpen, nowMs: Long): QueuedRequest {
-        val isResumed = open.emittedTokens.isNotEmpty()
-        val waitMs = if (isResumed) maxOf(open.remainingMs, RESUMED_WAIT_MS) else open.remainingMs
-        val request =
-            QueuedRequest(
-                id = open.stream,
-                workspace = open.workspace,
-                workClass = open.workClass,
-                costTokens = open.promptTokens.size + open.emittedTokens.size,
-                enqueuedAtMs = nowMs,
-                deadlineAtMs = nowMs + waitMs,
-                resumed = isResumed
-            )
-        return applyQueueDiscipline(registry.policy, request)
-    }
-
-    private fun refused(code: ResultCode, message: String, retryAfterMs: Long = 0) =
-        StreamEvent.Refused(code, message, notRun = true, retryAfterMs = retryAfterMs)
-
-    private fun failed(message: String) =
-        StreamEvent.Refused(ResultCode.STREAM_FAILED, message, notRun = false)
-
-    private fun crashed(fault: StageFault) =
-        failed(fault.message).copy(backendServerCrashed = true, crashId = fault.crashId)
-
     private companion object {
         const val REASON_LENGTH = "length"
         const val MAX_FEEDS = 8
         const val LOAD_HEARTBEATS = 4
-
-        // The target of a resumed stream is met or missed already; it still has to be served.
-        const val RESUMED_WAIT_MS = 10_000L
     }
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -116,3 +116,21 @@
 /** This stage as messages name it. */
 internal fun FlowStage.toRouteStage(): RouteStage =
     RouteStage(instance, address, holding.firstLayer, holding.endLayer)
+
+/** The stream as an entry of a queue that it joins at [nowMs]. */
+internal fun StreamOpen.toQueuedRequest(nowMs: Long): QueuedRequest {
+    val isResumed = emittedTokens.isNotEmpty()
+    val waitMs = if (isResumed) maxOf(remainingMs, RESUMED_WAIT_MS) else remainingMs
+    return QueuedRequest(
+        id = stream,
+        workspace = workspace,
+        workClass = workClass,
+        costTokens = promptTokens.size + emittedTokens.size,
+        enqueuedAtMs = nowMs,
+        deadlineAtMs = nowMs + waitMs,
+        resumed = isResumed
+    )
+}
+
+// The target of a resumed stream is met or missed already; it still has to be served.
+private const val RESUMED_WAIT_MS = 10_000L
