Share the entry and the report of raw servers between specs

The entry in the store and the report of a server that writes its bytes by hand stood in two specs. They are functions beside RawServer now. No change of behaviour.

--- a/router/src/test/kotlin/org/jacinthlink/router/InvalidStatusSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/InvalidStatusSpec.kt
@@ -7,21 +7,19 @@
 import org.jacinthlink.router.standins.RawServer
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.readRequestHead
+import org.jacinthlink.router.standins.reportResponse
 import org.jacinthlink.router.standins.requestIdIn
 
 /** A server in trouble, which answers each request with the status 000. */
 private class ZeroStatusServer(service: String) : AutoCloseable {
     private val server = RawServer(::serve)
-    val entry =
-        """{"service":"$service","address":"${server.address}","zone":"a","state":"ready",
-        "slots":134,"kind":"card","sequence":1,"born":1,
-        "layers":{"from":0,"to":8,"version":1}}"""
+    val entry = server.entry(service)
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().bufferedReader()
         while (true) {
             val id = requestIdIn(readRequestHead(input) ?: return)
-            val answer = if (id == null) REPORT_ANSWER else zeroAnswer(id)
+            val answer = if (id == null) reportResponse("zero") else zeroAnswer(id)
             socket.getOutputStream().write(answer.toByteArray())
         }
     }
@@ -31,13 +29,6 @@
             "Content-Length: 5\r\n\r\nwrong"
 
     override fun close() = server.close()
-
-    private companion object {
-        const val REPORT =
-            """{"busy":false,"kvTotal":1000,"sequence":1,"born":1,"layers":{"from":0,"to":8}}"""
-        const val REPORT_ANSWER =
-            "HTTP/1.1 200 OK\r\nInstance: zero\r\nContent-Length: ${REPORT.length}\r\n\r\n$REPORT"
-    }
 }
 
 class InvalidStatusSpec :
--- a/router/src/test/kotlin/org/jacinthlink/router/RepeatedRefusalSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RepeatedRefusalSpec.kt
@@ -7,6 +7,7 @@
 import org.jacinthlink.router.standins.RawServer
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.readRequestHead
+import org.jacinthlink.router.standins.reportResponse
 import org.jacinthlink.router.standins.requestIdIn
 
 /**
@@ -16,10 +17,7 @@
 private class RepeatingEngine : AutoCloseable {
     private val server = RawServer(::serve)
     private var hasRefused = false
-    val entry =
-        """{"service":"model","address":"${server.address}","zone":"a","state":"ready",
-        "slots":134,"kind":"card","sequence":1,"born":1,
-        "layers":{"from":0,"to":8,"version":1}}"""
+    val entry = server.entry("model")
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().bufferedReader()
@@ -28,7 +26,7 @@
             val id = requestIdIn(readRequestHead(input) ?: return)
             val answer =
                 when {
-                    id == null -> OK + REPORT
+                    id == null -> reportResponse("single")
                     !hasRefused -> refusalOf(id).also { refusal = it }
                     else -> refusal.orEmpty() + stream(id)
                 }
@@ -46,13 +44,6 @@
             "Content-Length: 15\r\n\r\nid: 1\ndata: t\n\n"
 
     override fun close() = server.close()
-
-    private companion object {
-        const val REPORT =
-            """{"busy":false,"kvTotal":1000,"sequence":1,"born":1,"layers":{"from":0,"to":8}}"""
-        const val OK =
-            "HTTP/1.1 200 OK\r\nInstance: single\r\nContent-Length: ${REPORT.length}\r\n\r\n"
-    }
 }
 
 class RepeatedRefusalSpec :
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RawServer.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RawServer.kt
@@ -24,9 +24,23 @@
         }
     }
 
+    /** Entry in the store, as of an engine with all layers, or of a server of a plain service. */
+    fun entry(service: String): String =
+        """{"service":"$service","address":"$address","zone":"a","state":"ready",
+        "slots":134,"kind":"card","sequence":1,"born":1,
+        "layers":{"from":0,"to":8,"version":1}}"""
+
     override fun close() = listening.close()
 }
 
+/** Response to a request for a report, as of an engine with all layers. */
+internal fun reportResponse(instanceId: String): String {
+    val report =
+        """{"busy":false,"kvTotal":1000,"sequence":1,"born":1,"layers":{"from":0,"to":8}}"""
+    return "HTTP/1.1 200 OK\r\nInstance: $instanceId\r\n" +
+        "Content-Length: ${report.length}\r\n\r\n$report"
+}
+
 /** Reads one request and returns the lines of its head; null if the connection has ended. */
 internal fun readRequestHead(input: BufferedReader): List<String>? {
     val lines = generateSequence { input.readLine() }.takeWhile { it.isNotEmpty() }.toList()
