--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
@@ -138,7 +138,7 @@
 
     fun first(): String = text("6000", "\"key\"", "")
 
-    /** The next version, with times, keys, limits and an additional route drawn from [random]. */
+    /** The next version, with timeouts, keys and an idle timeout drawn from [random]. */
     fun next(random: Random): String {
         version++
         val timeoutMs = listOf("6000", "9000").random(random)
