Close a connection at any byte that arrives while it is idle

What callers saw: a success for a request to which the server had answered 500, with the right id and signature. Cause: a server that stutters wrote the beginning of a late response while the connection was idle. Netty emits no message for a part of a head, so the connection stayed in the pool, and the status of the late response was joined with the fields and the body of the next one. Change: the decoder knows whether a response is awaited. Any byte at another time closes the connection, and before a connection is used again, what has arrived on it is read. Evidence: CutResponseSpec writes each prefix of a late response to an idle connection.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -18,9 +19,10 @@
 /**
  * One connection to a server.
  *
- * It returns to the pool only after all bytes that Netty read from the socket have been processed,
- * so that surplus bytes after a response are detected before the next request is sent. Such bytes
- * close the connection.
+ * Every byte from the server belongs to the response to the request that was sent last. Bytes that
+ * arrive while no response is awaited close the connection. It therefore returns to the pool only
+ * after all bytes that Netty read from the socket have been processed, and before it is used again,
+ * all bytes that have arrived in the meantime are read.
  */
 internal class ClientConnection(
     val address: Address,
@@ -41,8 +43,12 @@
         this.ctx = ctx
     }
 
-    /** True if a request may be sent at [nowMs]. */
-    fun isUsable(nowMs: Long): Boolean = ctx.channel().isActive && nowMs < usableUntilMs
+    /** True if a request may be sent at [nowMs]. Closes the connection if bytes have arrived. */
+    fun isUsable(nowMs: Long): Boolean {
+        if (!ctx.channel().isActive || nowMs >= usableUntilMs) return false
+        readArrivedBytes()
+        return ctx.channel().isActive
+    }
 
     /** Sends the request of [next]. */
     fun start(next: ConnectionCall, isReused: Boolean) {
@@ -53,7 +59,7 @@
         next.attach(ctx.channel())
         ctx.channel().config().isAutoRead = true
         val request = next.request
-        decoder.answersHead = request.method == "HEAD"
+        decoder.requestStarts(request.method)
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -146,7 +152,10 @@
         if (content is LastHttpContent && !current.isEnded) readEnd(current)
     }
 
+    private fun readArrivedBytes() = (ctx.channel().unsafe() as NioUnsafe).read()
+
     private fun readEnd(current: ConnectionCall) {
+        decoder.responseEnded()
         when (input.end) {
             null -> completed(current)
             InputEnd.BY_PEER -> checkEnd(current)
--- /dev/null
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
@@ -0,0 +1,123 @@
+package org.jacinthlink.transport
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+
+/**
+ * A server that stutters: it writes the first [length] bytes of a late response, while the
+ * connection is idle or when the next request on it has arrived.
+ */
+private class StutteringServer(
+    private val length: Int,
+    private val isEarly: Boolean,
+    private val lateResponse: String
+) : AutoCloseable {
+    private val listening = ServerSocket(0)
+    val address = Address("127.0.0.1", listening.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            while (!listening.isClosed) {
+                val socket = runCatching { listening.accept() }.getOrNull() ?: return@thread
+                thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        socket.tcpNoDelay = true
+        val input = socket.getInputStream().bufferedReader()
+        val output = socket.getOutputStream()
+        while (true) {
+            val lines = generateSequence { input.readLine() }.takeWhile { it.isNotEmpty() }.toList()
+            if (lines.isEmpty()) return
+            val isFirst = lines.first().startsWith("GET /first")
+            val cut = lateResponse.take(length).toByteArray()
+            if (!isFirst && !isEarly) output.writeAfterPause(cut)
+            if (isFirst) output.write(FIRST.toByteArray()) else output.writeAfterPause(SECOND)
+            if (isFirst && isEarly) output.writeAfterPause(cut)
+        }
+    }
+
+    override fun close() = listening.close()
+}
+
+private fun java.io.OutputStream.writeAfterPause(bytes: ByteArray) {
+    Thread.sleep(PAUSE_MS)
+    write(bytes)
+}
+
+class CutResponseSpec :
+    DescribeSpec({
+        val loop = eventLoop("test")
+        val client = httpClient(loop)
+
+        afterSpec { loop.stop() }
+
+        fun request(address: Address, target: String) =
+            ClientRequest(
+                address,
+                "GET",
+                target,
+                listOf(HeaderField("Host", "h")),
+                ByteArray(0)
+            )
+
+        fun get(request: ClientRequest): RecordingListener =
+            RecordingListener().also { loop.call { client.send(request, it) } }
+
+        /** Outcomes of the second request at servers that cut a late response after each length. */
+        fun outcomes(
+            lengths: IntRange,
+            isEarly: Boolean,
+            late: String
+        ): Map<Int, String> {
+            val servers = lengths.associateWith { StutteringServer(it, isEarly, late) }
+            servers.values.map { get(request(it.address, "/first")) }
+                .forEach { it.outcome() shouldBe "200 ok complete" }
+            Thread.sleep(IDLE_MS)
+            val second = servers.mapValues { get(request(it.value.address, "/second")) }
+            return second.mapValues {
+                it.value.outcome()
+            }.also { servers.values.forEach { it.close() } }
+        }
+
+        fun shouldNotSucceed(outcomes: Map<Int, String>) =
+            outcomes.forEach { (length, outcome) ->
+                withClue("cut after $length bytes: $outcome") {
+                    outcome.startsWith("200") shouldBe false
+                }
+            }
+
+        describe("a late response that is cut") {
+            LATE_HEADS.forEach { (framing, head) ->
+                // Guards against a status that is taken from the beginning of another response.
+                it("$framing, at any byte while the connection is idle, is never the next answer") {
+                    val late = head + BODY
+                    val found = outcomes(1..late.length, isEarly = true, late)
+                    shouldNotSucceed(found)
+                    found.values.toSet() shouldBe setOf("500 no complete")
+                }
+            }
+        }
+    })
+
+private const val PAUSE_MS = 10L
+private const val IDLE_MS = 150L
+private const val BODY = "stale"
+private const val FIRST = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+private val SECOND =
+    "HTTP/1.1 500 Server Error\r\nId: b\r\nX-Server: b\r\nContent-Length: 2\r\n\r\nno".toByteArray()
+
+private val LATE_HEADS =
+    mapOf(
+        "with a length" to
+            "HTTP/1.1 200 OK\r\nX-Server: a\r\nX-Folded: b\r\n c\r\nContent-Length: 5\r\n\r\n",
+        "in chunks" to
+            "HTTP/1.1 200 OK\r\nX-Server: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "without a reason" to "HTTP/1.1 200 \r\nX-Server: a\r\nContent-Length: 5\r\n\r\n"
+    )
