Read a connection again when the response that paused it is complete

What callers could see: the whole answer to another request. Cause: a slow caller pauses the connection of its stream. The connection returned to the pool paused, so a late second response was not read while it was idle, but as the answer to the next request. Change: reading goes on when a response is complete.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -167,6 +167,8 @@
         call = null
         poolAfterRead = isKeepAlive && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
+        // A paused connection would not notice bytes that arrive while it is idle.
+        ctx.channel().config().isAutoRead = true
         current.complete()
     }
 
--- a/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
@@ -70,6 +70,21 @@
         fun get(request: ClientRequest): RecordingListener =
             RecordingListener().also { loop.call { client.send(request, it) } }
 
+        /** As [get], but stops reading from the network as soon as a body arrives. */
+        fun getPaused(address: Address, target: String): RecordingListener {
+            val recording = RecordingListener()
+            lateinit var call: ClientCall
+            val pausing =
+                object : ClientListener by recording {
+                    override fun onBody(part: ByteArray) {
+                        call.setReading(false)
+                        recording.onBody(part)
+                    }
+                }
+            loop.call { call = client.send(request(address, target), pausing) }
+            return recording
+        }
+
         /** Outcomes of the second request at servers that cut a late response after each length. */
         fun outcomes(
             lengths: IntRange,
@@ -93,6 +108,19 @@
                 }
             }
 
+        describe("a late response that is whole") {
+            // Guards against a response that lies unread on a connection which is used again.
+            it("is not the next answer on a connection whose reading was paused") {
+                val (_, head) = LATE_HEADS.entries.first()
+                val late = head + BODY
+                StutteringServer(late.length, isEarly = true, late).use { server ->
+                    getPaused(server.address, "/first").outcome() shouldBe "200 ok complete"
+                    Thread.sleep(IDLE_MS)
+                    get(request(server.address, "/second")).outcome() shouldBe "500 no complete"
+                }
+            }
+        }
+
         describe("a late response that is cut") {
             LATE_HEADS.forEach { (framing, head) ->
                 // Guards against a status that is taken from the beginning of another response.
