Reject a head that holds a second status line

What callers saw: a success for a request to which the server had answered 500, with the right id and signature. Cause: the beginning of a late response may also come when the next request is on its way, where no byte on an idle connection gives it away. Netty accepts a second status line as the rest of a reason phrase or as the value of a field, and takes a line without a colon for a field. Change: a head, or a trailer, with a second status line, and one with a line without a colon, is no response. Reason phrases and values are free otherwise. Evidence: CutResponseSpec cuts a late head at each byte after the next request was sent.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
@@ -2,15 +2,21 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 
 /**
  * Decodes the responses of one connection, each of which answers one request.
  *
  * All bytes between two requests are surplus, and close the connection at once: the beginning of a
  * late response would otherwise be joined with the next one. A response is also rejected if its
- * status line is not one of HTTP/1. Netty accepts all of that.
+ * status line is not one of HTTP/1, if a line of its head or trailer is no field, or if a second
+ * status line follows before its head or trailer has ended. Netty accepts most of that.
  */
 internal class StrictResponseDecoder : HttpResponseDecoder() {
     private var awaitsResponse = false
@@ -34,20 +40,44 @@
             return
         }
         super.decode(ctx, buffer, out)
+        out.forEach(::checkFields)
     }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
-        val (version, status) = initialLine
+        val (version, status, reason) = initialLine
         require(VERSION.matches(version)) { "not a version of HTTP/1: $version" }
         require(STATUS.matches(status)) { "not a status of HTTP: $status" }
+        require(STATUS_LINE !in reason) { "two status lines in one" }
         return super.createMessage(initialLine)
     }
 
+    override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
+        var next = start + length
+        while (next < line.size && line[next] in BLANKS) next++
+        require(next < line.size && line[next] == COLON) { "a field without a colon" }
+        return super.splitHeaderName(line, start, length)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         answersHead || super.isContentAlwaysEmpty(message)
 
+    private fun checkFields(part: Any) {
+        when (part) {
+            is HttpResponse -> if (part.headers().haveStatusLine()) part.decoderResult = JOINED
+            is LastHttpContent ->
+                if (part.trailingHeaders().haveStatusLine()) part.decoderResult = JOINED
+        }
+    }
+
+    private fun HttpHeaders.haveStatusLine(): Boolean = any { STATUS_LINE in it.value }
+
     private companion object {
         val VERSION = Regex("""HTTP/1\.\d""")
         val STATUS = Regex("""[1-5]\d\d""")
+        val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d\d\d""")
+        val JOINED: DecoderResult =
+            DecoderResult.failure(IllegalArgumentException("a status line inside a field"))
+        val BLANKS = setOf(' '.code.toByte(), '\t'.code.toByte())
+        const val COLON = ':'.code.toByte()
     }
 }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
@@ -130,6 +130,10 @@
                     shouldNotSucceed(found)
                     found.values.toSet() shouldBe setOf("500 no complete")
                 }
+
+                it("$framing, at any byte of its head, is never joined with the next answer") {
+                    shouldNotSucceed(outcomes(1 until head.length, isEarly = false, head))
+                }
             }
         }
     })
