Accept a response only with the id of its request

What callers could see: an answer that belongs to another request, or 'not run, try again' for a request that runs. Cause: an answer with another id was rejected, one without an id was not. Probes have no id and share the connections, so a late second answer to a probe could be taken for that to a request. Change: the client of the router compares the id, once for relays and probes: the id of the request, exactly once, or none if the request has none. A response without an id is accepted as the first one of its connection only, which carried nothing else. The stand-in engine echoes the id in refusals, as servers do.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
@@ -27,7 +27,7 @@
                 attempt.wasInterrupted = true
                 context.failureDetector.check(first, "kept connection closed")
             }
-            CallFailure.MALFORMED_ANSWER -> Unit
+            CallFailure.MALFORMED_ANSWER, CallFailure.OTHER_ANSWER -> Unit
         }
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -247,7 +247,6 @@
             info = responseInfo(status, headers, Instant.now())
             this.headers = headers
             context.notices.record(server, info)
-            if (info.requestId != null && info.requestId != request.id) abandon("other answer")
         }
 
         override fun onBody(part: ByteArray) {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
@@ -9,6 +9,7 @@
 import org.jacinthlink.platform.forward.RequestInfo
 import org.jacinthlink.platform.forward.forwardHeaders
 import org.jacinthlink.platform.forward.refusalHeaders
+import org.jacinthlink.platform.forward.responseId
 import org.jacinthlink.transport.Address
 import org.jacinthlink.transport.ClientRequest
 import org.jacinthlink.transport.ServerExchange
@@ -76,7 +77,8 @@
             forwardHeaders(request, attempt),
             request.body,
             usesFreshConnection,
-            CONNECT_TIMEOUT_MS
+            CONNECT_TIMEOUT_MS,
+            responseId(id)
         )
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -153,7 +153,6 @@
         val info = current.info
         context.notices.record(current.path.first, info)
         when {
-            info.requestId != null && info.requestId != request.id -> leavePath("other answer")
             info.status == OK && !info.isSigned -> leavePath("unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -195,11 +195,11 @@
 
     private fun serve(request: ServerRequest, exchange: ServerExchange) {
         if (request.headers.valueOf("Expect-Instance") != instanceId) {
-            return exchange.respond(421, emptyList(), ByteArray(0))
+            return exchange.respond(421, echoedId(request), ByteArray(0))
         }
         val now = script
         if (now == Script.Rejecting || now == Script.ChangingLayers || now is Script.Pausing) {
-            return reject(exchange, (now as? Script.Pausing)?.retryAfterS)
+            return reject(request, exchange, (now as? Script.Pausing)?.retryAfterS)
         }
         runs.add(Run(request))
         exchange.onClientClosed { cancelledCount.incrementAndGet() }
@@ -237,12 +237,13 @@
         onRestarted()
     }
 
-    private fun reject(exchange: ServerExchange, retryAfterS: Double?) {
+    private fun reject(request: ServerRequest, exchange: ServerExchange, retryAfterS: Double?) {
         rejectedCount.incrementAndGet()
         val notRun = HeaderField("Not-Executed", "1")
         val at = HeaderField("At-Server", ownAddress)
         val retryAfter = retryAfterS?.let { HeaderField("Retry-After", "$it") }
-        exchange.respond(503, listOfNotNull(notRun, at, retryAfter), ByteArray(0))
+        val headers = echoedId(request) + listOfNotNull(notRun, at, retryAfter)
+        exchange.respond(503, headers, ByteArray(0))
     }
 
     private fun stream(request: ServerRequest, exchange: ServerExchange) {
@@ -273,10 +274,10 @@
     }
 
     private fun headers(request: ServerRequest): List<HeaderField> =
-        listOf(
-            HeaderField("Attempt-Id", request.headers.valueOf("Attempt-Id").orEmpty()),
-            HeaderField("Response-Seal", "seal-$instanceId")
-        ) + notices()
+        echoedId(request) + HeaderField("Response-Seal", "seal-$instanceId") + notices()
+
+    private fun echoedId(request: ServerRequest): List<HeaderField> =
+        request.headers.filter { it.name == "Attempt-Id" }
 
     private fun notices(): List<HeaderField> =
         listOfNotNull(
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
@@ -1,10 +1,22 @@
 package org.jacinthlink.transport
 
+/**
+ * The field by which a response names the request that it answers.
+ *
+ * A response without the field is accepted only as the first one of its connection, because no
+ * other request can have caused it.
+ *
+ * @property value Value that the response must have exactly once, or null if it must have none.
+ */
+data class ResponseId(val fieldName: String, val value: String?)
+
 /**
  * A request to send.
  *
  * @property usesFreshConnection True if the request must not use a pooled connection.
  * @property connectTimeoutMs Time limit for opening a new connection.
+ * @property responseId What tells the response from those to other requests, or null if nothing
+ *   does.
  */
 class ClientRequest(
     val address: Address,
@@ -13,7 +25,8 @@
     val headers: List<HeaderField>,
     val body: ByteArray,
     val usesFreshConnection: Boolean = false,
-    val connectTimeoutMs: Int = DEFAULT_CONNECT_TIMEOUT_MS
+    val connectTimeoutMs: Int = DEFAULT_CONNECT_TIMEOUT_MS,
+    val responseId: ResponseId? = null
 ) {
     private companion object {
         const val DEFAULT_CONNECT_TIMEOUT_MS = 1_000
@@ -41,7 +54,10 @@
     CONNECTION_LOST,
 
     /** The received bytes are not an HTTP response. */
-    MALFORMED_ANSWER
+    MALFORMED_ANSWER,
+
+    /** The response has not the id of the request, so it may belong to another one. */
+    OTHER_ANSWER
 }
 
 /** Receives a response on the event loop. */
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -129,11 +129,12 @@
     }
 
     private fun readHead(current: ConnectionCall, response: HttpResponse) {
-        if (response.decoderResult().isFailure) return malformed()
+        if (response.decoderResult().isFailure) return reject(CallFailure.MALFORMED_ANSWER)
         if (response.status().code() in INFORMATIONAL) {
-            if (++interimResponses > MAX_INTERIM_RESPONSES) malformed()
+            if (++interimResponses > MAX_INTERIM_RESPONSES) reject(CallFailure.MALFORMED_ANSWER)
             return
         }
+        if (!response.answers(current.request)) return reject(CallFailure.OTHER_ANSWER)
         isKeepAlive = HttpUtil.isKeepAlive(response)
         updateKeepAliveTimeout(response)
         val headers = response.headers().map { HeaderField(it.key, it.value) }
@@ -141,7 +142,7 @@
     }
 
     private fun readBody(current: ConnectionCall, content: HttpContent) {
-        if (content.decoderResult().isFailure) return malformed()
+        if (content.decoderResult().isFailure) return reject(CallFailure.MALFORMED_ANSWER)
         if (!current.hasHead) return
         val bytes = content.content()
         if (bytes.isReadable) {
@@ -202,8 +203,8 @@
         usableUntilMs = monotonicMs() + keepAliveMs
     }
 
-    private fun malformed() {
-        failCall(CallFailure.MALFORMED_ANSWER)
+    private fun reject(failure: CallFailure) {
+        failCall(failure)
         ctx.close()
     }
 
@@ -215,6 +216,12 @@
         current.fail(if (closedBeforeResponse) CallFailure.KEPT_CONNECTION_CLOSED else failure)
     }
 
+    private fun HttpResponse.answers(request: ClientRequest): Boolean {
+        val expected = request.responseId ?: return true
+        val ids = headers().getAll(expected.fieldName)
+        return ids == listOfNotNull(expected.value) || ids.isEmpty() && !wasPooled
+    }
+
     private companion object {
         val INFORMATIONAL = 100..199
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
--- a/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
@@ -58,13 +58,14 @@
 
         afterSpec { loop.stop() }
 
-        fun request(address: Address, target: String) =
+        fun request(address: Address, target: String, id: String? = null) =
             ClientRequest(
                 address,
                 "GET",
                 target,
                 listOf(HeaderField("Host", "h")),
-                ByteArray(0)
+                ByteArray(0),
+                responseId = id?.let { ResponseId("Id", it) }
             )
 
         fun get(request: ClientRequest): RecordingListener =
@@ -89,13 +90,14 @@
         fun outcomes(
             lengths: IntRange,
             isEarly: Boolean,
-            late: String
+            late: String,
+            id: String? = null
         ): Map<Int, String> {
             val servers = lengths.associateWith { StutteringServer(it, isEarly, late) }
             servers.values.map { get(request(it.address, "/first")) }
                 .forEach { it.outcome() shouldBe "200 ok complete" }
             Thread.sleep(IDLE_MS)
-            val second = servers.mapValues { get(request(it.value.address, "/second")) }
+            val second = servers.mapValues { get(request(it.value.address, "/second", id)) }
             return second.mapValues {
                 it.value.outcome()
             }.also { servers.values.forEach { it.close() } }
@@ -121,6 +123,18 @@
             }
         }
 
+        describe("a response without an id") {
+            // Guards against an answer without an id that belongs to an earlier request.
+            it("answers a request with an id only as the first one of its connection") {
+                StutteringServer(0, isEarly = false, "").use { server ->
+                    val first = request(server.address, "/first", "a")
+                    get(first).outcome() shouldBe "200 ok complete"
+                    get(first).outcome() shouldBe "0  OTHER_ANSWER"
+                    get(first).outcome() shouldBe "200 ok complete"
+                }
+            }
+        }
+
         describe("a late response that is cut") {
             LATE_HEADS.forEach { (framing, head) ->
                 // Guards against a status that is taken from the beginning of another response.
@@ -134,6 +148,14 @@
                 it("$framing, at any byte of its head, is never joined with the next answer") {
                     shouldNotSucceed(outcomes(1 until head.length, isEarly = false, head))
                 }
+
+                // Guards against an answer without an id, or with another one, that is believed.
+                it("$framing, at any byte, is never the answer to a request with an id") {
+                    listOf("", "Id: a\r\n", "Id: b\r\nId: b\r\n").forEach { ids ->
+                        val late = head.replaceFirst("X-Server", "${ids}X-Server") + BODY
+                        shouldNotSucceed(outcomes(1..late.length, isEarly = false, late, "b"))
+                    }
+                }
             }
         }
     })
