Report connections closed for bytes that belong to no request

Cause: a connection that is closed because a server wrote while no response was due left no trace, so that stuttering servers couldn't be told from sound ones in the logs of the incident. Change: a log event surplus_bytes with address and number of bytes, and the counter jacinthlink_surplus_total. Measured: CutResponseSpec compares the reported number with the bytes that were written, at each length.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -39,8 +39,11 @@
     private val log = decisionLog(settings.instance)
     private val loop: EventLoop = eventLoop("router")
     private val clockMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
-    private val http = httpClient(loop)
     private val metrics = RouterMetrics()
+    private val http = httpClient(loop) { server, byteCount ->
+        metrics.surplusReceived()
+        log.event("surplus_bytes", "address" to server, "bytes" to byteCount)
+    }
     private val store = StoreClient(loop, http, checkedAddress(settings.store))
     private val throttle = ServerThrottle()
     private val paths: PathTable by lazy {
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -42,6 +42,9 @@
     /** Counts a request whose server was lost before it had begun to answer. */
     fun lostBeforeBegun() = update { it.lostBeforeBegun() }
 
+    /** Counts a connection that was closed because of bytes that belong to no request. */
+    fun surplusReceived() = update { it.surplusReceived() }
+
     /** Records the time from a request's arrival to its first event. */
     fun firstEvent(elapsedMs: Long) = update { it.firstEvent.recordMs(elapsedMs) }
 
@@ -104,6 +107,8 @@
 
         fun lostBeforeBegun() = registry.counter("jacinthlink.lost.before.begun").increment()
 
+        fun surplusReceived() = registry.counter("jacinthlink.surplus").increment()
+
         fun gauge(name: String, value: () -> Number) {
             registry.gauge(name, value) { it().toDouble() }
         }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -7,8 +7,15 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 
-/** Sends HTTP/1.1 requests over pooled connections. It must be used on the event loop only. */
-class HttpClient internal constructor(private val loop: EventLoop) {
+/**
+ * Sends HTTP/1.1 requests over pooled connections. It must be used on the event loop only.
+ *
+ * @param onSurplus Called when a connection is closed because of bytes that belong to no request.
+ */
+class HttpClient internal constructor(
+    private val loop: EventLoop,
+    private val onSurplus: (server: Address, byteCount: Int) -> Unit
+) {
     private val idleConnections = HashMap<Address, ArrayDeque<ClientConnection>>()
 
     /** Memory for the bodies of responses that are read completely before they are used. */
@@ -52,7 +59,7 @@
 
     private fun connect(call: ConnectionCall) {
         val input = InputEndHandler()
-        val decoder = StrictResponseDecoder()
+        val decoder = StrictResponseDecoder { onSurplus(call.request.address, it) }
         val connection = ClientConnection(call.request.address, this, input, decoder)
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
@@ -84,5 +91,11 @@
     }
 }
 
-/** Creates an HTTP client that runs on [loop]. */
-fun httpClient(loop: EventLoop): HttpClient = HttpClient(loop)
+/**
+ * Creates an HTTP client that runs on [loop]. [onSurplus] is called when it closes a connection
+ * because of bytes that belong to no request.
+ */
+fun httpClient(
+    loop: EventLoop,
+    onSurplus: (server: Address, byteCount: Int) -> Unit = { _, _ -> }
+): HttpClient = HttpClient(loop, onSurplus)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
@@ -17,8 +17,11 @@
  * late response would otherwise be joined with the next one. A response is also rejected if its
  * status line is not one of HTTP/1, if a line of its head or trailer is no field, or if a second
  * status line follows before its head or trailer has ended. Netty accepts most of that.
+ *
+ * @param onSurplus Called with the number of surplus bytes before they are dropped.
  */
-internal class StrictResponseDecoder : HttpResponseDecoder() {
+internal class StrictResponseDecoder(private val onSurplus: (byteCount: Int) -> Unit) :
+    HttpResponseDecoder() {
     private var awaitsResponse = false
     private var answersHead = false
 
@@ -35,6 +38,7 @@
 
     override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (!awaitsResponse) {
+            onSurplus(buffer.readableBytes())
             buffer.skipBytes(buffer.readableBytes())
             ctx.close()
             return
--- a/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/CutResponseSpec.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
 
 /**
@@ -54,7 +55,8 @@
 class CutResponseSpec :
     DescribeSpec({
         val loop = eventLoop("test")
-        val client = httpClient(loop)
+        val surplusBytes = ConcurrentHashMap<Address, Int>()
+        val client = httpClient(loop) { server, byteCount -> surplusBytes[server] = byteCount }
 
         afterSpec { loop.stop() }
 
@@ -98,9 +100,10 @@
                 .forEach { it.outcome() shouldBe "200 ok complete" }
             Thread.sleep(IDLE_MS)
             val second = servers.mapValues { get(request(it.value.address, "/second", id)) }
-            return second.mapValues {
-                it.value.outcome()
-            }.also { servers.values.forEach { it.close() } }
+            val found = second.mapValues { it.value.outcome() }
+            if (isEarly) servers.values.map { surplusBytes[it.address] } shouldBe lengths.toList()
+            servers.values.forEach { it.close() }
+            return found
         }
 
         fun shouldNotSucceed(outcomes: Map<Int, String>) =
