--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RawServer.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RawServer.kt
@@ -33,10 +33,14 @@
     override fun close() = listening.close()
 }
 
-/** Response to a request for a report, as of an engine with all layers. */
-internal fun reportResponse(instanceId: String): String {
+/**
+ * Response to a request for a report, as of an engine with all layers and memory for
+ * [memoryTokens].
+ */
+internal fun reportResponse(instanceId: String, memoryTokens: Int = 1_000): String {
     val report =
-        """{"busy":false,"kvTotal":1000,"sequence":1,"born":1,"layers":{"from":0,"to":8}}"""
+        """{"busy":false,"kvTotal":$memoryTokens,"sequence":1,"born":1,
+        "layers":{"from":0,"to":8}}"""
     return "HTTP/1.1 200 OK\r\nInstance: $instanceId\r\n" +
         "Content-Length: ${report.length}\r\n\r\n$report"
 }
