Reject a response whose body goes on after its end

A late response that is cut and comes before the body of another one shifts that body: its beginning is foreign, and its own end is left over. The bytes that are left over were noticed only after the call had been completed. Now a response with a body fails if bytes that do not begin a response arrive together with its end. A whole second response after it changes nothing.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
@@ -3,12 +3,15 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
+import io.netty.util.ReferenceCountUtil
 
 /**
  * Decodes the responses of one connection, each of which answers one request.
@@ -17,14 +20,20 @@
  * late response would otherwise be joined with the next one. A response is also rejected if its
  * status line is not one of HTTP/1, if a line of its head or trailer is no field, or if a second
  * status line follows before its head or trailer has ended. Netty accepts most of that.
+ *
+ * Bytes of a late response may also stand before the body, whose own end then follows as surplus.
+ * So a response with a body is rejected if the bytes that arrive together with its end do not begin
+ * another response. A surplus that arrives later cannot be awaited without delaying each response.
  */
 internal class StrictResponseDecoder : HttpResponseDecoder() {
     private var awaitsResponse = false
     private var answersHead = false
+    private var hasBody = false
 
     /** Expects the response to a request with [method]. */
     fun requestStarts(method: String) {
         awaitsResponse = true
+        hasBody = false
         answersHead = method == "HEAD"
     }
 
@@ -41,6 +50,21 @@
         }
         super.decode(ctx, buffer, out)
         out.forEach(::checkFields)
+        if (out.any { it is HttpContent && it.content().isReadable }) hasBody = true
+        if (out.lastOrNull() is LastHttpContent && isShifted(buffer)) out.failLast(SHIFTED)
+    }
+
+    /** True if the bytes after a response show that its body did not end where its framing says. */
+    private fun isShifted(surplus: ByteBuf): Boolean {
+        val from = surplus.readerIndex()
+        return hasBody &&
+            RESPONSE_START.take(surplus.readableBytes()).withIndex()
+                .any { (i, byte) -> surplus.getByte(from + i) != byte }
+    }
+
+    private fun MutableList<Any>.failLast(cause: DecoderResult) {
+        ReferenceCountUtil.release(removeAt(lastIndex))
+        add(DefaultLastHttpContent().apply { decoderResult = cause })
     }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
@@ -77,6 +101,9 @@
         val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d\d\d""")
         val JOINED: DecoderResult =
             DecoderResult.failure(IllegalArgumentException("a status line inside a field"))
+        val SHIFTED: DecoderResult =
+            DecoderResult.failure(IllegalArgumentException("a body that goes on after its end"))
+        val RESPONSE_START = "HTTP/1.".toByteArray().toList()
         val BLANKS = setOf(' '.code.toByte(), '\t'.code.toByte())
         const val COLON = ':'.code.toByte()
     }
