Send each order to an engine on a connection of its own

What could happen: an order that the engine has refused counts as done, or one that it carries out as refused. Cause: an answer to an order is a status without anything that names the order. Orders shared the connections of the probes and of earlier orders, whose late second answers could be taken for theirs. Change: an order opens a connection, which is closed after its answer, so no other answer can arrive on it, and none of its late answers reaches a probe. Price: one new connection for each order; orders are few.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
@@ -14,6 +14,8 @@
  * A request to send.
  *
  * @property usesFreshConnection True if the request must not use a pooled connection.
+ * @property usesOwnConnection True if the connection must serve no other request, neither before
+ *   nor after this one, so that each response on it answers this one.
  * @property connectTimeoutMs Time limit for opening a new connection.
  * @property responseId What tells the response from those to other requests, or null if nothing
  *   does.
@@ -26,7 +28,8 @@
     val body: ByteArray,
     val usesFreshConnection: Boolean = false,
     val connectTimeoutMs: Int = DEFAULT_CONNECT_TIMEOUT_MS,
-    val responseId: ResponseId? = null
+    val responseId: ResponseId? = null,
+    val usesOwnConnection: Boolean = false
 ) {
     private companion object {
         const val DEFAULT_CONNECT_TIMEOUT_MS = 1_000
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -166,7 +166,8 @@
 
     private fun completed(current: ConnectionCall) {
         call = null
-        poolAfterRead = isKeepAlive && input.end == null && ctx.channel().isActive
+        val isReusable = isKeepAlive && !current.request.usesOwnConnection
+        poolAfterRead = isReusable && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
         // A paused connection would not notice bytes that arrive while it is idle.
         ctx.channel().config().isAutoRead = true
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -16,7 +16,8 @@
 
     /** Sends [request]; [listener] receives the response. */
     fun send(request: ClientRequest, listener: ClientListener): ClientCall {
-        val connection = if (request.usesFreshConnection) null else takeIdle(request.address)
+        val isPooled = !request.usesFreshConnection && !request.usesOwnConnection
+        val connection = if (isPooled) takeIdle(request.address) else null
         val call = ConnectionCall(request, listener)
         if (connection != null) connection.start(call, isReused = true) else connect(call)
         return call
