Take no other answer for a report or for the health of a server

What could happen: the late second answer of a health check, read as a report, made an engine without layers and without memory; a report, read as the answer to a health check, made a failing server healthy. So did a 200 of another instance at the address. Cause: a report was any JSON object, a health any 200. Change: a report has one field of a report at least; a 200 to a health check names the instance. A success that is neither is no answer, and its connection is closed, since the true answer is still to come on it. Refusals pass as before: nothing in them tells the call.

--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -158,7 +158,7 @@
                 exchange.respond(200, notices(), report().toByteArray())
             }
             "/v1/order" -> handleOrder(request, exchange)
-            "/health" -> exchange.respond(200, notices(), ByteArray(0))
+            "/health" -> exchange.respond(200, instance() + notices(), ByteArray(0))
             else -> serve(request, exchange)
         }
     }
@@ -279,6 +279,8 @@
     private fun echoedId(request: ServerRequest): List<HeaderField> =
         request.headers.filter { it.name == "Attempt-Id" }
 
+    private fun instance() = listOf(HeaderField("Instance", instanceId))
+
     private fun notices(): List<HeaderField> =
         listOfNotNull(
             if (announcesDraining) HeaderField("Server-Leaving", "1") else null,
--- a/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
@@ -12,13 +12,15 @@
 
 /**
  * Sends [request] and calls [onResult] once, with the complete response or with a failure, after
- * [timeoutMs] at the latest. A response that is too large to be buffered is a failure.
+ * [timeoutMs] at the latest. A response that is too large to be buffered is a failure, and so is
+ * one that [answersRequest] denies to be the response to this request; its connection is closed.
  */
 class BufferedCall(
     loop: EventLoop,
     private val http: HttpClient,
     private val request: ClientRequest,
     private val timeoutMs: Long,
+    private val answersRequest: (BufferedResult.Answered) -> Boolean = { true },
     private val onResult: (BufferedResult) -> Unit
 ) : ClientListener {
     private val body = http.responseMemory.buffer()
@@ -40,7 +42,13 @@
         timer.cancel()
         body.release()
         val text = body.toByteArray().toString(Charsets.UTF_8)
-        onResult(BufferedResult.Answered(status, headers, text))
+        val answer = BufferedResult.Answered(status, headers, text)
+        if (answersRequest(answer)) {
+            onResult(answer)
+        } else {
+            call.disown()
+            onResult(BufferedResult.Failed(CallFailure.OTHER_ANSWER.name.lowercase()))
+        }
     }
 
     private fun expire() {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
@@ -41,6 +41,12 @@
     /** Closes the connection. The listener is not called any more. */
     fun cancel()
 
+    /**
+     * Closes the connection of a complete response that turns out to answer another request: the
+     * response to this one is still to come on it. Only [ClientListener.onComplete] may call this.
+     */
+    fun disown()
+
     /** Stops reading the response from the network, or continues. */
     fun setReading(isReading: Boolean)
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
@@ -28,6 +28,10 @@
         channel?.close()
     }
 
+    override fun disown() {
+        channel?.close()
+    }
+
     override fun setReading(isReading: Boolean) {
         if (!isEnded) channel?.config()?.isAutoRead = isReading
     }
