Name the three uses of a connection

Cause: two flags told which connection carries a request, and not all of their four combinations make sense. Change: ConnectionUse is shared, fresh or exclusive. Measured: CutResponseSpec, ShiftedResponseSpec, HttpClientSpec, StoreClientSpec, EngineClientSpec, RouterSpec and LateCopySpec passed.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
@@ -12,6 +12,7 @@
 import org.jacinthlink.platform.forward.responseId
 import org.jacinthlink.transport.Address
 import org.jacinthlink.transport.ClientRequest
+import org.jacinthlink.transport.ConnectionUse
 import org.jacinthlink.transport.ServerExchange
 import org.jacinthlink.transport.ServerRequest
 
@@ -76,7 +77,7 @@
             request.target,
             forwardHeaders(request, attempt),
             request.body,
-            usesFreshConnection,
+            if (usesFreshConnection) ConnectionUse.FRESH else ConnectionUse.SHARED,
             CONNECT_TIMEOUT_MS,
             responseId(id)
         )
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientCall.kt
@@ -10,12 +10,22 @@
  */
 data class ResponseId(val fieldName: String, val value: String?)
 
+/** Which connection may carry a request. */
+enum class ConnectionUse {
+    /** A pooled connection if there is one, which returns to the pool. */
+    SHARED,
+
+    /** A new connection, which may serve further requests. */
+    FRESH,
+
+    /** A new connection that serves no other request, so that each response answers this one. */
+    EXCLUSIVE
+}
+
 /**
  * A request to send.
  *
- * @property usesFreshConnection True if the request must not use a pooled connection.
- * @property usesOwnConnection True if the connection must serve no other request, neither before
- *   nor after this one, so that each response on it answers this one.
+ * @property connectionUse Which connection may carry the request.
  * @property connectTimeoutMs Time limit for opening a new connection.
  * @property responseId What tells the response from those to other requests, or null if nothing
  *   does.
@@ -26,10 +36,9 @@
     val target: String,
     val headers: List<HeaderField>,
     val body: ByteArray,
-    val usesFreshConnection: Boolean = false,
+    val connectionUse: ConnectionUse = ConnectionUse.SHARED,
     val connectTimeoutMs: Int = DEFAULT_CONNECT_TIMEOUT_MS,
-    val responseId: ResponseId? = null,
-    val usesOwnConnection: Boolean = false
+    val responseId: ResponseId? = null
 ) {
     private companion object {
         const val DEFAULT_CONNECT_TIMEOUT_MS = 1_000
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -166,7 +166,7 @@
 
     private fun completed(current: ConnectionCall) {
         call = null
-        val isReusable = isKeepAlive && !current.request.usesOwnConnection
+        val isReusable = isKeepAlive && current.request.connectionUse != ConnectionUse.EXCLUSIVE
         poolAfterRead = isReusable && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
         // A paused connection would not notice bytes that arrive while it is idle.
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -23,8 +23,8 @@
 
     /** Sends [request]; [listener] receives the response. */
     fun send(request: ClientRequest, listener: ClientListener): ClientCall {
-        val isPooled = !request.usesFreshConnection && !request.usesOwnConnection
-        val connection = if (isPooled) takeIdle(request.address) else null
+        val isShared = request.connectionUse == ConnectionUse.SHARED
+        val connection = if (isShared) takeIdle(request.address) else null
         val call = ConnectionCall(request, listener)
         if (connection != null) connection.start(call, isReused = true) else connect(call)
         return call
