--- a/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
@@ -14,7 +14,8 @@
 
 /**
  * Fetches state from peers: a newer configuration at any time, and the servers while this router
- * cannot read the store itself.
+ * cannot read the store itself. A snapshot does not name its request, so each one has a connection
+ * of its own.
  */
 internal class SnapshotFetcher(
     private val loop: EventLoop,
@@ -76,7 +77,8 @@
                 "/snapshot",
                 headers,
                 ByteArray(0),
-                connectTimeoutMs = CONNECT_TIMEOUT_MS
+                connectTimeoutMs = CONNECT_TIMEOUT_MS,
+                usesOwnConnection = true
             )
         val timeoutMs = patience.limitMs
         BufferedCall(loop, http, request, timeoutMs) { result ->
--- a/router/src/test/kotlin/org/jacinthlink/router/peers/SnapshotFetcherSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/peers/SnapshotFetcherSpec.kt
@@ -1,12 +1,15 @@
 package org.jacinthlink.router.peers
 
 import io.kotest.core.spec.style.DescribeSpec
+import java.util.concurrent.atomic.AtomicInteger
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.router.decisionLog
+import org.jacinthlink.router.standins.RawServer
 import org.jacinthlink.router.standins.WIDE_LIMITS
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
 import org.jacinthlink.router.standins.freePort
+import org.jacinthlink.router.standins.readRequestHead
 import org.jacinthlink.router.state.ConfigurationCache
 import org.jacinthlink.router.state.ServerRegistry
 import org.jacinthlink.transport.Address
@@ -44,6 +47,47 @@
 
         fun peer(host: String) = GossipMessage(host, host, 1, configurationVersion = 2)
 
+        describe("a snapshot of the servers") {
+            // Guards against servers that have ended and come back with an earlier snapshot.
+            it("is not the late second answer to an earlier request") {
+                val requests = AtomicInteger()
+                val peer = RawServer { socket ->
+                    val input = socket.getInputStream().bufferedReader()
+                    var late = ""
+                    while (readRequestHead(input) != null) {
+                        val response = snapshotResponse(requests.incrementAndGet())
+                        socket.getOutputStream().write((late + response).toByteArray())
+                        late = response
+                    }
+                }
+                val log = decisionLog("r")
+                val servers = ServerRegistry(log, { System.nanoTime() / 1_000_000 }) {}
+                val fetcher =
+                    SnapshotFetcher(
+                        loop,
+                        httpClient(loop),
+                        peer.address.substringAfter(':').toInt(),
+                        ConfigurationCache(log) {},
+                        servers,
+                        log
+                    )
+                fun fetch() =
+                    loop.execute {
+                        fetcher.tick(
+                            listOf(GossipMessage("p", "127.0.0.1", 1, storeAgeMs = 0)),
+                            ownStoreAgeMs = null,
+                            waitMs = 1_000
+                        )
+                    }
+                peer.use {
+                    fetch()
+                    await(2_000) { servers.all.size == 1 }
+                    fetch()
+                    await(2_000) { servers.all.size == 2 }
+                }
+            }
+        }
+
         describe("the snapshot of a peer with a newer configuration") {
             // Guards against a small router that falls behind for good because it gives up each
             // snapshot that is on its way, and asks for the same again.
@@ -66,5 +110,14 @@
         }
     })
 
+/** Response with a snapshot of [count] servers. */
+private fun snapshotResponse(count: Int): String {
+    val servers =
+        (1..count).map { PeerServer("i$it", "model", "127.0.0.1", it, "a", true, 1, 1) }
+    val text =
+        ProtocolJson.encodeToString(PeerSnapshot.serializer(), PeerSnapshot("", servers))
+    return "HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n$text"
+}
+
 /** Longer than the first attempt waits. */
 private const val SLOW_MS = 800L
