Fail when a stream ends before it has its first tokens

Streams had ended as stage_failed before any fault was injected, and the test waited for their tokens without a bound. Cause of the failed streams: on a starved machine answers between the five sidecars of the test took over 400 ms for 2.8 s. The head takes a stage for dead after one unanswered probe, a stage the next one after a message that is unanswered twice; so both copies of two stages were excluded within 1.2 s, and streams ended for want of another copy.

--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/TestPipeline.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/TestPipeline.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.sidecar
 
+import io.kotest.assertions.withClue
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
@@ -173,6 +175,17 @@
     val tokens: List<String>
         get() = events.filterIsInstance<StreamEvent.Token>().map { it.text }
 
+    /** Waits until the stream has [count] tokens, and fails if it ends or stalls before. */
+    fun awaitTokens(count: Int) {
+        val endsAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(STALL_S)
+        while (tokens.size < count && !ended.isDone && System.nanoTime() < endsAtNanos) {
+            Thread.sleep(10)
+        }
+        withClue("stream of $prompt, last event ${events.lastOrNull()}") {
+            tokens.size shouldBeGreaterThanOrEqual count
+        }
+    }
+
     override fun onLine(line: String) {
         val event = ProtocolJson.decodeFromString(StreamEvent.serializer(), line)
         events += event
@@ -190,4 +203,8 @@
     override fun onFailure(result: PeerResult) {
         ended.completeExceptionally(IllegalStateException(result.toString()))
     }
+
+    private companion object {
+        const val STALL_S = 30L
+    }
 }
