Handle no request after a response that closes its connection

What callers could see: the answer to their third request where that to the second was due, and an answer behind a refusal that said close. Cause: while the last response of a connection was still being written to a slow client, further requests on it were handled, but those that had begun to arrive before were dropped. Change: after a response that closes the connection, all that arrives on it is discarded. Evidence: PipelinedRequestSpec, a connection that drains while half of the second request has arrived, and a refusal behind a response that has not been read. Before, the third request was run and answered in both.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -20,7 +20,7 @@
  * One connection that a client has opened.
  *
  * It handles one request at a time. Further requests that arrive in the meantime are queued until
- * the current response has ended.
+ * the current response has ended. After a response that closes the connection, none is handled.
  */
 internal class ServerConnection(
     private val loop: EventLoop,
@@ -41,6 +41,9 @@
     private var idleTimeoutMs = limits().idleTimeoutMs
     private var isDraining = false
 
+    /** True once a response has been sent after which the connection closes. */
+    private var isClosing = false
+
     /** True while a request is being read or answered. */
     val isBusy: Boolean get() = exchange != null || requestStartedAtMs != null
 
@@ -64,7 +67,11 @@
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
-        if (exchange != null) enqueue(msg) else accept(msg)
+        when {
+            isClosing -> ReferenceCountUtil.release(msg)
+            exchange != null -> enqueue(msg)
+            else -> accept(msg)
+        }
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
@@ -73,7 +80,7 @@
 
     /** Starts the time limit of a request at [nowMs], unless one is being read or answered. */
     fun onBytesReceived(nowMs: Long) {
-        if (exchange == null && requestStartedAtMs == null) requestStartedAtMs = nowMs
+        if (!isBusy && !isClosing) requestStartedAtMs = nowMs
     }
 
     /**
@@ -171,14 +178,22 @@
         exchange = null
         idleSinceMs = monotonicMs()
         idleTimeoutMs = limits().idleTimeoutMs
-        if (!staysOpen || !channel.isActive) return
+        if (!staysOpen) isClosing = true
+        if (isClosing || !channel.isActive) return
         channel.config().isAutoRead = true
-        while (exchange == null && queuedMessages.isNotEmpty()) accept(queuedMessages.removeFirst())
+        acceptQueued()
+    }
+
+    private fun acceptQueued() {
+        while (exchange == null && !isClosing && queuedMessages.isNotEmpty()) {
+            accept(queuedMessages.removeFirst())
+        }
     }
 
     private fun refuse(status: Int) {
         head = null
         requestStartedAtMs = null
+        isClosing = true
         ChannelExchange(channel, { false }, {}).respond(status, emptyList(), ByteArray(0))
     }
 
