Handle queued requests without recursion

What callers could see: a connection that falls silent, if a client had sent some hundred requests at once behind one that took longer. Cause: the end of each response handled the next queued request within itself. The stack overflowed, out of the response to the first request, and the exchange of one queued request stayed open for ever. Reading was also resumed with any number of messages in the queue. Change: one loop handles the queue, and reading is resumed only when it is short. Evidence: PipelinedRequestSpec, 3,000 requests behind one that is answered later.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -43,6 +43,7 @@
 
     /** True once a response has been sent after which the connection closes. */
     private var isClosing = false
+    private var isAcceptingQueued = false
 
     /** True while a request is being read or answered. */
     val isBusy: Boolean get() = exchange != null || requestStartedAtMs != null
@@ -180,13 +181,20 @@
         idleTimeoutMs = limits().idleTimeoutMs
         if (!staysOpen) isClosing = true
         if (isClosing || !channel.isActive) return
-        channel.config().isAutoRead = true
         acceptQueued()
+        if (queuedMessages.size < MAX_QUEUED_MESSAGES) channel.config().isAutoRead = true
     }
 
+    /** Does nothing if it is called for the response to a request that it has just accepted. */
     private fun acceptQueued() {
-        while (exchange == null && !isClosing && queuedMessages.isNotEmpty()) {
-            accept(queuedMessages.removeFirst())
+        if (isAcceptingQueued) return
+        isAcceptingQueued = true
+        try {
+            while (exchange == null && !isClosing && queuedMessages.isNotEmpty()) {
+                accept(queuedMessages.removeFirst())
+            }
+        } finally {
+            isAcceptingQueued = false
         }
     }
 
--- a/transport/src/test/kotlin/org/jacinthlink/transport/PipelinedRequestSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/PipelinedRequestSpec.kt
@@ -31,6 +31,26 @@
 
         afterSpec { loop.stop() }
 
+        describe("requests behind one that is answered later") {
+            // Guards against a stack overflow, after which the connection falls silent.
+            it("are all answered in order, however many") {
+                val server = TargetServer(loop)
+                val warmUp = "POST /w HTTP/1.1\r\nHost: h\r\nContent-Length: $LONG_BYTES\r\n\r\n"
+                // After a long body, many requests are read at once.
+                val socket = server.address.connectAndSend(warmUp + "x".repeat(LONG_BYTES))
+                await { server.handled.size == 1 }
+                val targets = (1..REQUESTS).map { "/$it" }
+                val last = "GET /end HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                val all = get("/held") + targets.joinToString("", transform = ::get) + last
+                socket.getOutputStream().write(all.toByteArray())
+                await { server.held.size == 1 }
+                Thread.sleep(PAUSE_MS)
+                loop.execute { server.held.first().respond(200, emptyList(), ByteArray(0)) }
+                val answered = Regex("<(.*?)>").findAll(socket.readAll()).map { it.groupValues[1] }
+                answered.toList() shouldBe listOf("/w") + targets + "/end"
+            }
+        }
+
         describe("a request behind a response that closes its connection") {
             // Guards against a caller that takes the response to its third request for that to the
             // second, of which one half came before the first response and one half after it.
@@ -64,6 +84,8 @@
     })
 
 private const val PAUSE_MS = 200L
+private const val LONG_BYTES = 900_000
+private const val REQUESTS = 3_000
 
 /** More than the buffers of a connection hold. */
 private val LARGE = ByteArray(12_000_000) { 'x'.code.toByte() }
