Send a request to the same server again over a new connection only

A stream that ends without an event or inside one leaves its connection in the pool. A later attempt of the same request at the same server could take that connection, and read a late copy of the first answer, whose id is the right one. The request of an attempt now asks for a new connection if an attempt of the same request went to that address before.

RepeatedSendSpec failed before for streams: of five requests with five answers without an event each, 10 pairs of request and connection came more than once. It holds now. For plain requests, which go to each instance once, it held before too: two instances at one address, and a refusal by the wrong one.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/RelayRequest.kt
@@ -53,7 +53,13 @@
     val expectedEvents: Int
         get() = expectedAnswerTokens / (service.engine?.stepsPerPass ?: 1).coerceAtLeast(1)
 
-    /** Builds the HTTP request of one attempt. */
+    /** Addresses of the servers of all attempts. */
+    private val sentTo = mutableSetOf<Address>()
+
+    /**
+     * Builds the HTTP request of the next attempt. A second one at the same server gets a new
+     * connection, because a late copy of the response to the first one has the same id.
+     */
     fun httpRequest(
         server: BackendServer,
         path: ServingPath?,
@@ -70,13 +76,15 @@
                 path,
                 lastEventId
             )
+        val address = Address(server.host, server.port)
+        val isRepeated = !sentTo.add(address)
         return ClientRequest(
-            Address(server.host, server.port),
+            address,
             request.method,
             request.target,
             forwardHeaders(request, attempt),
             request.body,
-            usesFreshConnection,
+            usesFreshConnection || isRepeated,
             CONNECT_TIMEOUT_MS,
             responseId(id)
         )
