--- a/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/peers/SnapshotFetcher.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.transport.BufferedCall
 import org.jacinthlink.transport.BufferedResult
 import org.jacinthlink.transport.ClientRequest
+import org.jacinthlink.transport.ConnectionUse
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.HeaderField
 import org.jacinthlink.transport.HttpClient
@@ -78,7 +79,7 @@
                 headers,
                 ByteArray(0),
                 connectTimeoutMs = CONNECT_TIMEOUT_MS,
-                usesOwnConnection = true
+                connectionUse = ConnectionUse.EXCLUSIVE
             )
         val timeoutMs = patience.limitMs
         BufferedCall(loop, http, request, timeoutMs) { result ->
--- a/router/src/test/kotlin/org/jacinthlink/router/CutAnswerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/CutAnswerSpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import java.io.OutputStream
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -62,28 +63,32 @@
             val id = requestIdIn(readRequestHead(input) ?: return)
             if (id == null) {
                 output.write(reportResponse(instanceId, ENGINE_TOKENS).toByteArray())
-                continue
+            } else {
+                cut = answer(output, id, cut)
             }
-            received.add(id)
-            cut?.let {
-                cut = null
-                cutCount.incrementAndGet()
-                Thread.sleep(PAUSE_MS)
-                output.write(it)
-            }
-            // All requests of a round are open at the same time, each on its own connection.
-            Thread.sleep(GATHER_MS)
-            output.write(case.answer(id).toByteArray())
-            val length = id.removePrefix(FIRST).toIntOrNull() ?: continue
-            cut = case.answer(id).take(length).toByteArray()
-            if (!isEarly) continue
-            Thread.sleep(PAUSE_MS)
-            output.write(cut)
-            cut = null
-            cutCount.incrementAndGet()
         }
     }
 
+    /** Returns the late bytes that are to be written before the next answer, or null. */
+    private fun answer(output: OutputStream, id: String, late: ByteArray?): ByteArray? {
+        received.add(id)
+        if (late != null) output.writeLate(late)
+        // All requests of a round are open at the same time, each on its own connection.
+        Thread.sleep(GATHER_MS)
+        output.write(case.answer(id).toByteArray())
+        val length = id.removePrefix(FIRST).toIntOrNull() ?: return null
+        val cut = case.answer(id).take(length).toByteArray()
+        if (!isEarly) return cut
+        output.writeLate(cut)
+        return null
+    }
+
+    private fun OutputStream.writeLate(bytes: ByteArray) {
+        cutCount.incrementAndGet()
+        Thread.sleep(PAUSE_MS)
+        write(bytes)
+    }
+
     override fun close() = server.close()
 }
 
