Keep no connection whose request is not completely written

What callers could see: no answer in time, and a server taken for silent. Cause: a server may answer before it has read a long body. The connection went back to the pool with the rest of that body still to be written, so that the next request on it waited until the server read on. Change: such a connection is closed when its response is complete. Evidence: HttpClientSpec, a server that answers after the head of a request of 16 MB. Before: no answer to the next request within 10 s; now it is answered over a new connection.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -166,7 +166,12 @@
 
     private fun completed(current: ConnectionCall) {
         call = null
-        poolAfterRead = isKeepAlive && input.end == null && ctx.channel().isActive
+        // The next request would wait for a server that does not read the rest of this one.
+        poolAfterRead =
+            isKeepAlive &&
+            current.isSent &&
+            input.end == null &&
+            ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
         // A paused connection would not notice bytes that arrive while it is idle.
         ctx.channel().config().isAutoRead = true
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -165,6 +165,20 @@
                 get(freeAddress()).outcome() shouldBe "0  NOT_CONNECTED"
             }
 
+            // Guards against a request that waits behind the rest of a body that nobody reads.
+            it("whose server has answered before it has read the request is not reused") {
+                val address =
+                    server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+                        Thread.sleep(60_000)
+                    }
+                val headers = listOf(HeaderField("Host", "h"))
+                val long = ClientRequest(address, "POST", "/", headers, ByteArray(16_000_000))
+                val first = RecordingListener()
+                loop.call { client.send(long, first) }
+                first.outcome() shouldBe "200 ok complete"
+                get(address).outcome() shouldBe "200 ok complete"
+            }
+
             it("that is closed while idle is not reused") {
                 val address =
                     server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") { it.close() }
