Take no address in a field for a second status line

Cause: a Via field may hold a version of HTTP and then an address. Its first three digits were taken for a status, and the response for two that were joined. Change: what looks like a status must end as one, with a blank or the end of the line. Evidence: HttpClientSpec, a response with "Via: HTTP/1.1 192.0.2.1:80".

--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
@@ -74,7 +74,9 @@
     private companion object {
         val VERSION = Regex("""HTTP/1\.\d""")
         val STATUS = Regex("""[1-5]\d\d""")
-        val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d\d\d""")
+
+        /** A `Via` field may hold a version and an address, whose first number is no status. */
+        val STATUS_LINE = Regex("""HTTP/\d\.\d\s+\d\d\d(?=\s|$)""")
         val JOINED: DecoderResult =
             DecoderResult.failure(IllegalArgumentException("a status line inside a field"))
         val BLANKS = setOf(' '.code.toByte(), '\t'.code.toByte())
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -92,6 +92,13 @@
                 }
             }
 
+            // Guards against a proxy's field that is taken for a second status line.
+            it("is valid with a field that names a version of HTTP and an address") {
+                val via = "Via: HTTP/1.1 192.0.2.1:80, HTTP/1.0 203.0.113.7"
+                val address = server("HTTP/1.1 200 OK\r\n$via\r\nContent-Length: 2\r\n\r\nok")
+                get(address).outcome() shouldBe "200 ok complete"
+            }
+
             it("to a HEAD request has no body") {
                 val address = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
                 repeat(2) { get(address, "HEAD").outcome() shouldBe "200  complete" }
