--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -166,7 +166,11 @@
 
     private fun completed(current: ConnectionCall) {
         call = null
-        val isReusable = isKeepAlive && current.request.connectionUse != ConnectionUse.EXCLUSIVE
+        // The next request would wait for a server that does not read the rest of this one.
+        val isReusable =
+            isKeepAlive &&
+                current.isSent &&
+                current.request.connectionUse != ConnectionUse.EXCLUSIVE
         poolAfterRead = isReusable && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
         // A paused connection would not notice bytes that arrive while it is idle.
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -92,6 +92,13 @@
                 }
             }
 
+            // Guards against a proxy's field that is taken for a second status line.
+            it("is valid with a field that names a version of HTTP and an address") {
+                val via = "Via: HTTP/1.1 192.0.2.1:80, HTTP/1.0 203.0.113.7"
+                val address = server("HTTP/1.1 200 OK\r\n$via\r\nContent-Length: 2\r\n\r\nok")
+                get(address).outcome() shouldBe "200 ok complete"
+            }
+
             it("to a HEAD request has no body") {
                 val address = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
                 repeat(2) { get(address, "HEAD").outcome() shouldBe "200  complete" }
@@ -165,6 +172,20 @@
                 get(freeAddress()).outcome() shouldBe "0  NOT_CONNECTED"
             }
 
+            // Guards against a request that waits behind the rest of a body that nobody reads.
+            it("whose server has answered before it has read the request is not reused") {
+                val address =
+                    server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+                        Thread.sleep(60_000)
+                    }
+                val headers = listOf(HeaderField("Host", "h"))
+                val long = ClientRequest(address, "POST", "/", headers, ByteArray(16_000_000))
+                val first = RecordingListener()
+                loop.call { client.send(long, first) }
+                first.outcome() shouldBe "200 ok complete"
+                get(address).outcome() shouldBe "200 ok complete"
+            }
+
             it("that is closed while idle is not reused") {
                 val address =
                     server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") { it.close() }
