Reject a switch to another protocol

What callers could see: no answer until their deadline. Cause: Netty ignores all bytes after a 101, which counted as an interim response. Change: a 101 is no response, as no request asks for a switch.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -130,6 +131,10 @@
 
     private fun readHead(current: ConnectionCall, response: HttpResponse) {
         if (response.decoderResult().isFailure) return reject(CallFailure.MALFORMED_ANSWER)
+        // No request asks for another protocol, after which no response would follow.
+        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) {
+            return reject(CallFailure.MALFORMED_ANSWER)
+        }
         if (response.status().code() in INFORMATIONAL) {
             if (++interimResponses > MAX_INTERIM_RESPONSES) reject(CallFailure.MALFORMED_ANSWER)
             return
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -84,6 +84,12 @@
                 }
             }
 
+            // Guards against a call that waits for the rest of a response that never follows.
+            it("fails when it switches to a protocol that nobody asked for") {
+                val address = server("HTTP/1.1 101 Switching Protocols\r\n\r\n")
+                get(address).outcome() shouldBe "0  MALFORMED_ANSWER"
+            }
+
             it("is valid with any status that HTTP allows") {
                 listOf(200, 299, 300, 404, 418, 499, 500, 599).forEach { status ->
                     val address =
