--- a/router/src/test/kotlin/org/jacinthlink/router/CutAnswerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/CutAnswerSpec.kt
@@ -58,35 +58,28 @@
         socket.tcpNoDelay = true
         val input = socket.getInputStream().bufferedReader()
         val output = socket.getOutputStream()
-        var cut: ByteArray? = null
+        var late: String? = null
         while (true) {
             val id = requestIdIn(readRequestHead(input) ?: return)
             if (id == null) {
                 output.write(reportResponse(instanceId, ENGINE_TOKENS).toByteArray())
             } else {
-                cut = answer(output, id, cut)
+                received.add(id)
+                output.writeLate(late)
+                // All requests of a round are open at the same time, each on its own connection.
+                Thread.sleep(GATHER_MS)
+                output.write(case.answer(id).toByteArray())
+                val cut = id.removePrefix(FIRST).toIntOrNull()?.let { case.answer(id).take(it) }
+                if (isEarly) output.writeLate(cut) else late = cut
             }
         }
     }
 
-    /** Returns the late bytes that are to be written before the next answer, or null. */
-    private fun answer(output: OutputStream, id: String, late: ByteArray?): ByteArray? {
-        received.add(id)
-        if (late != null) output.writeLate(late)
-        // All requests of a round are open at the same time, each on its own connection.
-        Thread.sleep(GATHER_MS)
-        output.write(case.answer(id).toByteArray())
-        val length = id.removePrefix(FIRST).toIntOrNull() ?: return null
-        val cut = case.answer(id).take(length).toByteArray()
-        if (!isEarly) return cut
-        output.writeLate(cut)
-        return null
-    }
-
-    private fun OutputStream.writeLate(bytes: ByteArray) {
+    private fun OutputStream.writeLate(cut: String?) {
+        if (cut == null) return
         cutCount.incrementAndGet()
         Thread.sleep(PAUSE_MS)
-        write(bytes)
+        write(cut.toByteArray())
     }
 
     override fun close() = server.close()
