Go on with a periodic task after an error, and report it

What could happen: a periodic task of the router (gossip, layout, watches) ends for good and without a word when one run uses up the stack or finds no memory. Cause: only exceptions were caught. Netty drops the errors of tasks, and ends the repetition. Change: every failure of a task is reported, and the task goes on. Evidence: EventLoopSpec, a periodic task whose first run throws a StackOverflowError: before, no further run within 10 s and no line; now it goes on and is reported.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -48,7 +48,8 @@
     private fun runGuarded(kind: String, action: () -> Unit) {
         try {
             action()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // Netty drops errors of tasks, and ends the repetition of a periodic one.
             reportFailure(kind, e)
         }
     }
