Report when an event loop ends by itself, and why

Cause: an error outside of a task or a handler ends the loop and closes its connections. Netty reports that by a warning, which was dropped. Change: the end of a loop that wasn't stopped is a line on standard error, and so are warnings of Netty whose cause is an error. Evidence: EventLoopSpec ends a loop by an error in a task on a channel: before, no line within 10 s; now end and cause. A loop that is stopped reports nothing. What ended the router's loop isn't known yet.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ErrorLoggerFactory.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ErrorLoggerFactory.kt
@@ -4,7 +4,10 @@
 import io.netty.util.internal.logging.InternalLogger
 import io.netty.util.internal.logging.InternalLoggerFactory
 
-/** Creates loggers that write Netty's errors to standard error and drop all other messages. */
+/**
+ * Creates loggers that write to standard error what Netty reports as an error, and warnings whose
+ * cause is an [Error], such as the one that ends an event loop. All other messages are dropped.
+ */
 internal object ErrorLoggerFactory : InternalLoggerFactory() {
     override fun newInstance(name: String): InternalLogger = ErrorLogger(name)
 }
@@ -72,5 +75,7 @@
 
     override fun warn(format: String, vararg arguments: Any?) = Unit
 
-    override fun warn(message: String?, cause: Throwable?) = Unit
+    override fun warn(message: String?, cause: Throwable?) {
+        if (cause is Error) write("$message: ${cause.stackTraceToString()}")
+    }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -13,6 +13,15 @@
 class EventLoop internal constructor(internal val group: NioEventLoopGroup) {
     private val loop = group.next()
 
+    @Volatile
+    private var isStopping = false
+
+    init {
+        loop.terminationFuture().addListener {
+            if (!isStopping) System.err.println("event loop: ended, and its connections with it")
+        }
+    }
+
     /** Runs [action] on the loop as soon as possible. */
     fun execute(action: () -> Unit) {
         loop.execute { runGuarded("task", action) }
@@ -56,6 +65,7 @@
 
     /** Starts to close all sockets and to end the thread, and returns at once. */
     fun stop() {
+        isStopping = true
         group.shutdownGracefully(0, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
     }
 
--- a/transport/src/test/kotlin/org/jacinthlink/transport/EventLoopSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/EventLoopSpec.kt
@@ -1,8 +1,14 @@
 package org.jacinthlink.transport
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.netty.channel.nio.NioEventLoop
+import io.netty.channel.nio.NioTask
 import java.io.ByteArrayOutputStream
 import java.io.PrintStream
+import java.nio.ByteBuffer
+import java.nio.channels.Pipe
+import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
 import java.util.concurrent.atomic.AtomicInteger
 
 class EventLoopSpec :
@@ -43,4 +49,39 @@
                 }
             }
         }
+
+        describe("an event loop") {
+            // Guards against connections that all close at once without any trace of the cause.
+            it("reports its end and the cause, unless it was stopped") {
+                withErrors { errors ->
+                    val ending = eventLoop("ending")
+                    ending.endWith(StackOverflowError("end of the loop"))
+                    await { "event loop: ended" in errors() && "end of the loop" in errors() }
+                }
+            }
+
+            it("reports nothing when it is stopped") {
+                withErrors { errors ->
+                    val stopped = eventLoop("stopped")
+                    stopped.call { }
+                    stopped.stop()
+                    await { stopped.group.isTerminated }
+                    check("event loop: ended" !in errors()) { errors() }
+                }
+            }
+        }
     })
+
+/** Lets the code that handles sockets fail with [error]. */
+private fun EventLoop.endWith(error: Error) {
+    val pipe = Pipe.open()
+    pipe.source().configureBlocking(false)
+    val failing =
+        object : NioTask<SelectableChannel> {
+            override fun channelReady(channel: SelectableChannel, key: SelectionKey) = throw error
+
+            override fun channelUnregistered(channel: SelectableChannel, cause: Throwable?) = Unit
+        }
+    (group.next() as NioEventLoop).register(pipe.source(), SelectionKey.OP_READ, failing)
+    pipe.sink().write(ByteBuffer.wrap(byteArrayOf(1)))
+}
