Hand out one response for each request in the client of the older half

Cause: OkHttp reads up to 8 KB at a time and keeps what follows a response for the next one; it looks neither at the bytes that arrive on an idle connection nor at a head that is made of two. The status of a late, cut response was joined with the fields and the body of the next one, and a whole late response was the next answer.

Change: the sockets of the client follow the framing of each response and hand out no byte beyond its end. A connection on which bytes are left over or arrive before the next request is not used again; OkHttp takes another one before it sends. A head or trailer with a second status line or with a line that is no field, and a status that HTTP does not have, fail the call.

A whole late response that arrives when the next request has been sent cannot be told from its answer by framing alone.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -99,7 +99,7 @@
             )
             .connectionPool(pool)
             .retryOnConnectionFailure(false)
-            .socketFactory(NoDelaySocketFactory)
+            .socketFactory(ClientSocketFactory)
             .followRedirects(false)
             .eventListenerFactory { call -> call.request().tag(SentMarker::class.java)!! }
             .build()
@@ -142,7 +142,6 @@
 }
 
 private fun answered(response: Response, sent: SentMarker): PeerResult {
-    response.checkStatus()
     val text = response.boundedText()
     sent.checkComplete(response)
     return PeerResult.Answered(response.code, response.headers.toMap(), text)
@@ -163,17 +162,10 @@
     }
 
     private fun readLines(response: Response) {
-        response.checkStatus()
         listener.onStart(response.code, response.headers.toMap())
         val source = response.body!!.source()
         while (true) listener.onLine(source.boundedLine() ?: return)
     }
 }
 
-/** Throws unless the status is one of a final response; OkHttp takes any three digits for one. */
-private fun Response.checkStatus() {
-    if (code !in FINAL_STATUSES) throw IOException("not a final status of HTTP: $code")
-}
-
-private val FINAL_STATUSES = 200..599
 private const val UNKNOWN_LENGTH = -1L
