Accept a response of an own process only with the id of its call

Cause: between entries, sidecars, the load tool and the administration commands nothing told whose response came over a used connection. A whole late response that arrived after the next request was its answer, and one that was cut inside its body was filled up with the next one.

Change: a client of own processes sends an id with each call, which the HTTP server repeats. A response with another id fails the call. One without an id, as earlier versions send, is accepted only as the first of its connection, which is then not used again. Backend servers, the store and the platform get no id.

--- a/api/src/main/kotlin/org/jacinthlink/api/Headers.kt
+++ b/api/src/main/kotlin/org/jacinthlink/api/Headers.kt
@@ -15,6 +15,9 @@
     /** Secret shared by the processes of one system. */
     const val PEER_TOKEN = "x-jacinthlink-peer-token"
 
+    /** Id of a call to a process of the system, which the response repeats. */
+    const val CALL_ID = "x-jacinthlink-call-id"
+
     /** Host and port of the sending process. */
     const val SENDER = "x-jacinthlink-sender"
 
--- a/cli/src/main/kotlin/org/jacinthlink/cli/admin/AdminCommand.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/admin/AdminCommand.kt
@@ -36,7 +36,7 @@
         if (token.isNullOrBlank()) {
             return fail(ExitCode.SETTINGS_INVALID, "set $TOKEN_VARIABLE or --token-file")
         }
-        val client = peerClient()
+        val client = peerClient(hasCallIds = true)
         return try {
             run(AdminClient(entry, token, client))
         } finally {
--- a/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
+++ b/cli/src/main/kotlin/org/jacinthlink/cli/load/LoadRun.kt
@@ -20,7 +20,7 @@
 
 /** Like [runLoad], but returns each request. [onStart] is called when the run begins. */
 internal fun observeLoad(plan: LoadPlan, onStart: () -> Unit = {}): LoadObservation {
-    val client = peerClient()
+    val client = peerClient(hasCallIds = true)
     try {
         return LoadRun(plan, client).run(onStart)
     } finally {
--- a/cli/src/test/kotlin/org/jacinthlink/cli/load/LoadRunSpec.kt
+++ b/cli/src/test/kotlin/org/jacinthlink/cli/load/LoadRunSpec.kt
@@ -86,6 +86,19 @@
             }
         }
 
+        describe("a run whose answers are those to other requests") {
+            // Guards against a report that counts an answer to another request as a success.
+            it("counts none of them as answered") {
+                ServerSocket(0).use { server ->
+                    thread(isDaemon = true) { answerOthers(server) }
+                    val other = plan.copy(entries = listOf("http://127.0.0.1:${server.localPort}"))
+                    val figures = runLoad(other).workspaces.getValue("w1")
+                    listOf(figures.sent, figures.answered, figures.failed, figures.unknown) shouldBe
+                        listOf(80, 0, 50, 30)
+                }
+            }
+        }
+
         describe("a schedule") {
             it("keeps the rate and is the same for the same seed") {
                 val stream = LoadStream("s", "w", "c", 200.0, 50.0, startSecond = 10.0, model = "m")
@@ -132,6 +145,19 @@
                 "$work, promptTokens: 4, verifyLayerCount: 2}\n"
         }
 
+/** Answers each connection to [server] with the whole answer to another call. */
+private fun answerOthers(server: ServerSocket) {
+    val answer =
+        "HTTP/1.1 200 OK\r\n${Headers.CALL_ID}: other\r\nContent-Length: 14\r\n\r\ndata: [DONE]\n\n"
+    while (!server.isClosed) {
+        val socket = runCatching { server.accept() }.getOrNull() ?: return
+        thread(isDaemon = true) {
+            socket.getInputStream().read()
+            socket.getOutputStream().write(answer.toByteArray())
+        }
+    }
+}
+
 private fun fakeEntry(request: Request): Response {
     val workClass = request.header(Headers.WORK_CLASS).orEmpty()
     return when (workClass) {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/HttpDaemonShell.kt
@@ -180,7 +180,9 @@
         settings.advertisedAddress ?: server?.let { "${settings.host}:${it.port}" }
 
     private fun newPeerClient(): PeerClient =
-        ObservingPeerClient(peerClient { protocol.callHeaders(knownAddress()) }) { from, headers ->
+        ObservingPeerClient(
+            peerClient(hasCallIds = true) { protocol.callHeaders(knownAddress()) }
+        ) { from, headers ->
             protocol.observe(from, headers, sync, membership)
         }
 
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ClientSocket.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ClientSocket.kt
@@ -19,17 +19,25 @@
     private val responses = lazy { ResponseInputStream(super.getInputStream()) }
     private val requests = lazy { RequestOutputStream(super.getOutputStream(), responses.value) }
 
+    @Volatile
+    private var isRetired = false
+
     init {
         tcpNoDelay = true
     }
 
+    /** Lets no further request be sent. */
+    fun retire() {
+        isRetired = true
+    }
+
     override fun getInputStream(): InputStream = responses.value
 
     override fun getOutputStream(): OutputStream = requests.value
 
     /** True as well if no further response can be read. OkHttp asks before it reuses a socket. */
     override fun isInputShutdown(): Boolean =
-        super.isInputShutdown() || responses.isInitialized() && !isReusable()
+        super.isInputShutdown() || isRetired || responses.isInitialized() && !isReusable()
 
     private fun isReusable(): Boolean =
         try {
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/OkHttpPeerClient.kt
@@ -2,12 +2,10 @@
 
 import java.io.IOException
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicBoolean
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
-import okhttp3.EventListener
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.OkHttpClient
@@ -15,13 +13,22 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
-
-/** Creates a client. [headers] are added to each call, as the sender's revision is. */
-fun peerClient(headers: () -> Map<String, String> = { emptyMap() }): PeerClient =
-    OkHttpPeerClient(headers)
-
-internal class OkHttpPeerClient(private val commonHeaders: () -> Map<String, String>) :
-    PeerClient {
+import org.jacinthlink.api.Headers
+
+/**
+ * Creates a client. [headers] are added to each call, as the sender's revision is.
+ *
+ * @param hasCallIds True for a client of processes of the system, which repeat the id of a call.
+ */
+fun peerClient(
+    hasCallIds: Boolean = false,
+    headers: () -> Map<String, String> = { emptyMap() }
+): PeerClient = OkHttpPeerClient(headers, if (hasCallIds) callIds() else { -> null })
+
+internal class OkHttpPeerClient(
+    private val commonHeaders: () -> Map<String, String>,
+    private val nextCallId: () -> String?
+) : PeerClient {
     private val pooled = newClient(ConnectionPool(MAX_IDLE_CONNECTIONS, 30, TimeUnit.SECONDS))
 
     // Connections of this client are closed after one call.
@@ -29,7 +36,7 @@
         pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
     override fun call(call: PeerCall, timeoutMs: Long, fresh: Boolean): PeerResult {
-        val sent = SentMarker()
+        val monitor = CallMonitor(nextCallId())
         val client =
             (if (fresh) unpooled else pooled)
                 .newBuilder()
@@ -38,9 +45,9 @@
                 .readTimeout(timeoutMs, TimeUnit.MILLISECONDS)
                 .build()
         return try {
-            client.newCall(request(call, sent)).execute().use { answered(it, sent) }
+            client.newCall(request(call, monitor)).execute().use { answered(it, monitor) }
         } catch (e: IOException) {
-            val failure = sent.failure(e)
+            val failure = monitor.failure(e)
             // Other idle connections to the peer may be as silent as this one. A refused connection
             // says nothing about them, and closing them for it would cost all other peers theirs.
             if (failure is PeerResult.Unknown) pooled.connectionPool.evictAll()
@@ -53,15 +60,15 @@
         connectTimeoutMs: Long,
         listener: LineListener
     ): StreamCall {
-        val sent = SentMarker()
+        val monitor = CallMonitor(nextCallId())
         val okCall =
             unpooled
                 .newBuilder()
                 .connectTimeout(connectTimeoutMs, TimeUnit.MILLISECONDS)
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .build()
-                .newCall(request(call, sent))
-        okCall.enqueue(LineReader(listener, sent))
+                .newCall(request(call, monitor))
+        okCall.enqueue(LineReader(listener, monitor))
         return StreamCall { okCall.cancel() }
     }
 
@@ -70,9 +77,10 @@
         pooled.connectionPool.evictAll()
     }
 
-    private fun request(call: PeerCall, sent: SentMarker): Request {
-        val builder = Request.Builder().url(call.url).tag(SentMarker::class.java, sent)
+    private fun request(call: PeerCall, monitor: CallMonitor): Request {
+        val builder = Request.Builder().url(call.url).tag(CallMonitor::class.java, monitor)
         (commonHeaders() + call.headers).forEach { (name, value) -> builder.header(name, value) }
+        monitor.callId?.let { builder.header(Headers.CALL_ID, it) }
         return builder.method(call.method, bodyOf(call)).build()
     }
 
@@ -101,7 +109,7 @@
             .retryOnConnectionFailure(false)
             .socketFactory(ClientSocketFactory)
             .followRedirects(false)
-            .eventListenerFactory { call -> call.request().tag(SentMarker::class.java)!! }
+            .eventListenerFactory { call -> call.request().tag(CallMonitor::class.java)!! }
             .build()
 
     private companion object {
@@ -111,61 +119,31 @@
     }
 }
 
-/** Notes whether any byte of a request was written, and whether all of them were. */
-private class SentMarker : EventListener() {
-    private val sent = AtomicBoolean(false)
-    private val writeFailed = AtomicBoolean(false)
-
-    override fun requestHeadersStart(call: Call) = sent.set(true)
-
-    override fun requestFailed(call: Call, ioe: IOException) = writeFailed.set(true)
-
-    /**
-     * Throws if [response], all of which has been read, may be incomplete.
-     *
-     * OkHttp reads the response even if the request could not be written completely. The failed
-     * write may have consumed the error of a reset connection, and its end then looks regular.
-     */
-    fun checkComplete(response: Response) {
-        val endsWithConnection =
-            response.body!!.contentLength() == UNKNOWN_LENGTH &&
-                response.header("Transfer-Encoding") == null
-        if (writeFailed.get() && endsWithConnection) {
-            throw IOException("connection lost while the request was sent")
-        }
-    }
-
-    fun failure(cause: IOException): PeerResult {
-        val message = "${cause.javaClass.simpleName}: ${cause.message}"
-        return if (sent.get()) PeerResult.Unknown(message) else PeerResult.NotSent(message)
-    }
-}
-
-private fun answered(response: Response, sent: SentMarker): PeerResult {
+private fun answered(response: Response, monitor: CallMonitor): PeerResult {
+    monitor.checkAnswers()
     val text = response.boundedText()
-    sent.checkComplete(response)
+    monitor.checkComplete(response)
     return PeerResult.Answered(response.code, response.headers.toMap(), text)
 }
 
-private class LineReader(private val listener: LineListener, private val sent: SentMarker) :
+private class LineReader(private val listener: LineListener, private val monitor: CallMonitor) :
     Callback {
-    override fun onFailure(call: Call, e: IOException) = listener.onFailure(sent.failure(e))
+    override fun onFailure(call: Call, e: IOException) = listener.onFailure(monitor.failure(e))
 
     override fun onResponse(call: Call, response: Response) {
         try {
             response.use(::readLines)
-            sent.checkComplete(response)
+            monitor.checkComplete(response)
             listener.onEnd()
         } catch (e: IOException) {
-            listener.onFailure(sent.failure(e))
+            listener.onFailure(monitor.failure(e))
         }
     }
 
     private fun readLines(response: Response) {
+        monitor.checkAnswers()
         listener.onStart(response.code, response.headers.toMap())
         val source = response.body!!.source()
         while (true) listener.onLine(source.boundedLine() ?: return)
     }
 }
-
-private const val UNKNOWN_LENGTH = -1L
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -16,6 +16,7 @@
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.jacinthlink.api.Headers
 import org.jacinthlink.api.ResultCode
 import org.xnio.channels.Channels
 
@@ -94,6 +95,7 @@
         response.headers.forEach { (name, value) ->
             if (value != null) exchange.responseHeaders.add(HttpString(name), value)
         }
+        repeatCallId(exchange)
         when (val body = response.body) {
             is PushBody -> body.onStart(UndertowPushSink(exchange))
             is DeferredBody -> body.onStart(sendOnce(exchange))
@@ -101,6 +103,11 @@
         }
     }
 
+    private fun repeatCallId(exchange: HttpServerExchange) {
+        val callId = exchange.requestHeaders.getFirst(CALL_ID) ?: return
+        exchange.responseHeaders.put(CALL_ID, callId)
+    }
+
     private fun sendOnce(exchange: HttpServerExchange): (Response) -> Unit {
         val sent = AtomicBoolean()
         return { later ->
@@ -152,6 +159,7 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+        val CALL_ID = HttpString(Headers.CALL_ID)
         const val READ_BUFFER_BYTES = 16_384
         const val READ_TIMEOUT_MS = 10_000L
     }
