Servers that stutter in the soak, as processes

They are also suspended, slow and reset, by a plan of their own, so the plans of the seeds stay. Callers of plain calls, calls that may run once and streams compare id, status, signature and body, which name the request and the status.

--- a/router/src/test/kotlin/org/jacinthlink/router/soak/ServerProcess.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/ServerProcess.kt
@@ -1,40 +1,90 @@
 package org.jacinthlink.router.soak
 
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.transport.HeaderField
+import org.jacinthlink.transport.ServerRequest
 import org.jacinthlink.transport.eventLoop
 
+/** Starts a stand-in of a backend server in a process. */
+internal fun serverProcess(instanceId: String, zone: String, service: String): ServerProcess =
+    ServerProcess(instanceId, "$PACKAGE.ServerProcessKt", listOf(instanceId, zone, service))
+
+/** Starts a server in a process that writes answers twice, at random as [seed] decides. */
+internal fun stutteringProcess(
+    instanceId: String,
+    zone: String,
+    service: String,
+    seed: Int
+): ServerProcess =
+    ServerProcess(
+        instanceId,
+        "$PACKAGE.StutteringServerKt",
+        listOf(instanceId, zone, service, "$seed")
+    )
+
 /**
  * A stand-in of a backend server in a separate process, which a test suspends and resumes.
  *
  * Unlike a stand-in in the process of the test, a suspended one still accepts connections and
  * takes requests, as the operating system does that for it.
  */
-internal class ServerProcess(val instanceId: String, zone: String, service: String) :
+internal class ServerProcess(val instanceId: String, mainClass: String, arguments: List<String>) :
     AutoCloseable {
     private val process =
-        ProcessBuilder(jvmCommand(MAIN_CLASS, instanceId, zone, service))
+        ProcessBuilder(jvmCommand(mainClass, *arguments.toTypedArray()))
             .redirectError(ProcessBuilder.Redirect.INHERIT)
             .start()
+    private val firstLine = CompletableFuture<String>()
+
+    /** Requests that the server has run, if its process prints them. */
+    val runs: MutableList<EngineStandIn.Run> = CopyOnWriteArrayList()
+
+    init {
+        thread(isDaemon = true) {
+            process.inputReader().forEachLine { if (!firstLine.complete(it)) runs.add(run(it)) }
+        }
+    }
 
     /** Entry of the server in the store, which its process has printed. */
-    val entry: String by lazy { checkNotNull(process.inputReader().readLine()) }
+    val entry: String get() = firstLine.get(START_S, TimeUnit.SECONDS)
 
     /** Stops the process for [durationMs]. */
     fun suspendFor(durationMs: Long) {
-        process.signal("STOP")
+        suspendProcess()
         Thread.sleep(durationMs)
-        process.signal("CONT")
+        resumeProcess()
     }
 
+    /** Suspends the process with SIGSTOP. */
+    fun suspendProcess() = process.signal("STOP")
+
+    /** Resumes a suspended process with SIGCONT. */
+    fun resumeProcess() = process.signal("CONT")
+
     override fun close() {
         process.destroyForcibly().waitFor()
     }
 
     private companion object {
-        const val MAIN_CLASS = "org.jacinthlink.router.soak.ServerProcessKt"
+        const val START_S = 20L
+
+        /** Reads a line with the head of a request, whose lines are separated by tabs. */
+        fun run(line: String): EngineStandIn.Run {
+            val head = line.split('\t')
+            val (method, target) = head.first().split(' ')
+            val headers = head.drop(1).map {
+                HeaderField(it.substringBefore(':'), it.substringAfter(':').trim())
+            }
+            return EngineStandIn.Run(ServerRequest(method, target, headers, ByteArray(0), 0))
+        }
     }
 }
 
+private const val PACKAGE = "org.jacinthlink.router.soak"
 private const val EVENT_INTERVAL_MS = 40L
 
 /** Runs a stand-in with the instance id, the availability zone and the service [args]. */
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
@@ -16,7 +16,25 @@
 internal enum class CallKind(val path: String, val method: String) {
     STREAM("/s/x", "POST"),
     SAFE("/safe/x", "GET"),
-    UNSAFE("/once/x", "POST")
+    UNSAFE("/once/x", "POST"),
+
+    /** As [SAFE], to a service all of whose servers stutter. */
+    STUTTERING_SAFE("/stuttering/x", "GET"),
+
+    /** As [UNSAFE], to a service all of whose servers stutter. */
+    STUTTERING_UNSAFE("/stuttering-once/x", "POST"),
+
+    /** As [STREAM], which may run only once, to an engine that stutters. */
+    STUTTERING_STREAM("/stuttering-stream/x", "POST");
+
+    val isUnsafe: Boolean get() = this in listOf(UNSAFE, STUTTERING_UNSAFE, STUTTERING_STREAM)
+
+    val isStream: Boolean get() = this == STREAM || this == STUTTERING_STREAM
+
+    companion object {
+        /** Kinds of requests to services that have servers without faults. */
+        val SOUND = listOf(STREAM, SAFE, UNSAFE)
+    }
 }
 
 /**
@@ -24,7 +42,8 @@
  *
  * @property status Status of the response, or null if its headers were not received.
  * @property isWhole True if the body was received to its end.
- * @property isSigned True if the response has the signature of a server.
+ * @property signature Signature of a server, or null if the response has none.
+ * @property answeredId Id of the request that the response names, or null if it names none.
  * @property isUnanswered True if the request did not end within the caller's timeout.
  */
 internal data class CallResult(
@@ -32,7 +51,8 @@
     val kind: CallKind,
     val status: Int?,
     val isWhole: Boolean,
-    val isSigned: Boolean,
+    val signature: String?,
+    val answeredId: String?,
     val body: String,
     val isUnanswered: Boolean
 )
@@ -50,11 +70,10 @@
 
     /** Sends one request to the router at [address] and reads the response. */
     fun call(address: String, kind: CallKind, id: String): CallResult {
-        val noResponse = CallResult(id, kind, null, false, false, "", isUnanswered = false)
+        val noResponse = CallResult(id, kind, null, false, null, null, "", isUnanswered = false)
         return try {
             val answer = client.send(request(address, kind, id), BODY)
-            val isSigned = answer.headers().firstValue("Response-Seal").isPresent
-            read(answer.body(), noResponse.copy(status = answer.statusCode(), isSigned = isSigned))
+            read(answer.body(), noResponse.withHead(answer))
         } catch (_: java.net.http.HttpConnectTimeoutException) {
             noResponse
         } catch (_: HttpTimeoutException) {
@@ -64,6 +83,13 @@
         }
     }
 
+    private fun CallResult.withHead(answer: HttpResponse<*>) =
+        copy(
+            status = answer.statusCode(),
+            signature = answer.headers().firstValue("Response-Seal").orElse(null),
+            answeredId = answer.headers().firstValue("Attempt-Id").orElse(null)
+        )
+
     private fun read(body: InputStream, head: CallResult): CallResult {
         val bytes = java.io.ByteArrayOutputStream()
         val isWhole = try {
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
@@ -8,11 +8,16 @@
 
 /** A fault that is injected from outside the routers; a failed test prints its faults. */
 internal sealed interface SoakFault {
-    data class RouterKilled(val router: Int) : SoakFault
+    /** A fault of the process of a router. */
+    sealed interface OfRouter : SoakFault {
+        val router: Int
+    }
+
+    data class RouterKilled(override val router: Int) : OfRouter
 
-    data class RouterSuspended(val router: Int) : SoakFault
+    data class RouterSuspended(override val router: Int) : OfRouter
 
-    data class RouterStopped(val router: Int) : SoakFault
+    data class RouterStopped(override val router: Int) : OfRouter
 
     data object StoreRefuses : SoakFault
 
@@ -32,6 +37,9 @@
 
     data class ServerDrains(val server: String) : SoakFault
 
+    /** A server in a process of its own is stopped and goes on. */
+    data class ServerSuspended(val server: String) : SoakFault
+
     data object ConfigurationWritten : SoakFault
 }
 
@@ -58,6 +66,25 @@
         .toList()
 }
 
+/** Plans the faults of the servers that stutter, beside those of [planFaults]. */
+internal fun planStutteringFaults(seed: Int, site: SoakSite, lengthMs: Long): List<PlannedFault> {
+    val random = Random(seed)
+    return generateSequence(random.nextLong(MAX_STUTTERING_GAP_MS)) {
+        it + random.nextLong(MAX_STUTTERING_GAP_MS)
+    }
+        .takeWhile { it < lengthMs }
+        .map { atMs ->
+            val server = site.stutteringServers.random(random).instanceId
+            val fault = when (random.nextInt(STUTTERING_FAULT_KINDS)) {
+                0 -> SoakFault.ServerSuspended(server)
+                1 -> SoakFault.ConnectionsReset(server)
+                else -> SoakFault.ServerDelayed(server)
+            }
+            PlannedFault(fault, atMs, random.nextLong(MIN_DURATION_MS, MAX_STUTTERING_DURATION_MS))
+        }
+        .toList()
+}
+
 private fun randomFault(
     random: Random,
     servers: List<String>,
@@ -95,15 +122,7 @@
 
 private fun SoakSite.actionsOf(fault: SoakFault): FaultActions =
     when (fault) {
-        is SoakFault.RouterKilled ->
-            FaultActions(routers[fault.router]::kill, routers[fault.router]::start)
-        is SoakFault.RouterSuspended ->
-            FaultActions(
-                routers[fault.router]::suspendProcess,
-                routers[fault.router]::resumeProcess
-            )
-        is SoakFault.RouterStopped ->
-            FaultActions(routers[fault.router]::terminate, routers[fault.router]::start)
+        is SoakFault.OfRouter -> actionsOf(fault, routers[fault.router])
         SoakFault.StoreRefuses -> FaultActions({ store.isUnavailable = true }, {
             store.isUnavailable =
                 false
@@ -118,9 +137,23 @@
         is SoakFault.ServerUnresponsive -> unresponsive(server(fault.server))
         is SoakFault.ServerScripted -> scripted(server(fault.server), fault.script)
         is SoakFault.ServerDrains -> draining(server(fault.server))
+        is SoakFault.ServerSuspended -> suspended(fault.server)
         SoakFault.ConfigurationWritten -> FaultActions(::configure)
     }
 
+private fun actionsOf(fault: SoakFault.OfRouter, router: RouterProcess): FaultActions =
+    when (fault) {
+        is SoakFault.RouterKilled -> FaultActions(router::kill, router::start)
+        is SoakFault.RouterSuspended ->
+            FaultActions(router::suspendProcess, router::resumeProcess)
+        is SoakFault.RouterStopped -> FaultActions(router::terminate, router::start)
+    }
+
+private fun SoakSite.suspended(instanceId: String): FaultActions {
+    val server = stutteringServers.first { it.instanceId == instanceId }
+    return FaultActions(server::suspendProcess, server::resumeProcess)
+}
+
 private fun SoakSite.proxied(listener: String, faults: ProxyFaults) =
     FaultActions(
         { proxy.setFaults(listener, faults) },
@@ -146,6 +179,10 @@
         it.resumeProcess()
         it.start()
     }
+    stutteringServers.forEach {
+        it.resumeProcess()
+        proxy.setFaults(it.instanceId, ProxyFaults())
+    }
     routers.indices.forEach { proxy.setFaults(storeListener(it), ProxyFaults()) }
     (engines + plainServers).forEach {
         it.script = Script.Serve
@@ -174,5 +211,8 @@
 
 /** Number of equally likely cases; two of them are [SoakFault.ServerScripted]. */
 private const val FAULT_KINDS = 14
+private const val MAX_STUTTERING_GAP_MS = 3_000L
+private const val MAX_STUTTERING_DURATION_MS = 900L
+private const val STUTTERING_FAULT_KINDS = 3
 private const val SLOW_STORE_MS = 150.0
 private const val SLOW_SERVER_MS = 60.0
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
@@ -6,6 +6,7 @@
 import org.jacinthlink.router.standins.StoreStandIn
 import org.jacinthlink.router.standins.configuration
 import org.jacinthlink.router.standins.freePort
+import org.jacinthlink.router.standins.route
 import org.jacinthlink.standins.FaultProxy
 import org.jacinthlink.standins.ProxyFaults
 import org.jacinthlink.standins.ProxyListenerSettings
@@ -25,7 +26,7 @@
  * All connections of the routers pass through a proxy, which has one listener for each server and
  * one for the connections of each router to the store.
  */
-internal class SoakSite(folder: Path) : AutoCloseable {
+internal class SoakSite(folder: Path, seed: Int) : AutoCloseable {
     private val loop = eventLoop("stand-ins")
     val proxy: FaultProxy = startFaultProxy()
     val store = StoreStandIn(loop)
@@ -33,6 +34,12 @@
         listOf("a1" to "a", "a2" to "a", "a3" to "a", "b1" to "b", "b2" to "b", "b3" to "b")
             .map { (id, zone) -> EngineStandIn(loop, id, zone, STREAM_EVENTS, EVENT_MS) }
     val plainServers = listOf("d1", "d2").map { EngineStandIn(loop, it, "a") }
+    val stutteringServers =
+        listOf(
+            stutteringProcess("s1", "a", STUTTERING_ENGINE_SERVICE, seed),
+            stutteringProcess("s2", "a", STUTTERING_SERVICE, seed),
+            stutteringProcess("s3", "a", STUTTERING_SERVICE, seed)
+        )
     val routers: List<RouterProcess>
     private val unresponsiveAddresses = java.util.concurrent.ConcurrentHashMap.newKeySet<String>()
     private var version = 1
@@ -44,6 +51,7 @@
             server.forwardsActivations = { path -> unresponsiveAddresses.none { "$it=" in path } }
             register(server)
         }
+        stutteringServers.forEach(::register)
         val peerPort = freePort()
         routers = List(ROUTERS) { index ->
             val host = "127.0.0.${index + 1}"
@@ -85,15 +93,37 @@
 
     /** Writes the entry of [server] to the store as the server itself does. */
     fun register(server: EngineStandIn, state: String = "ready") {
-        val service = if (server in plainServers) "desk" else "model"
+        val service = if (server in plainServers) PLAIN_SERVICE else ENGINE_SERVICE
         store.write("servers/${server.instanceId}", server.entry(service, state))
     }
 
+    /** Writes the entry of [server] to the store, with the address of its listener at the proxy. */
+    private fun register(server: ServerProcess) {
+        val address = ADDRESS.find(server.entry)!!.value
+        val entry = server.entry.replace(address, listener(server.instanceId, address))
+        store.write("servers/${server.instanceId}", entry)
+    }
+
     /** Writes the next version of the configuration. */
-    fun configure() = store.write("op/config", configuration(version++))
+    fun configure() {
+        val safe = route("stuttering", "safe", STUTTERING_SERVICE, 2)
+        val unsafe = route("stuttering-once", "unsafe", STUTTERING_SERVICE, 1)
+        val stream = route("stuttering-stream", "stream", STUTTERING_ENGINE_SERVICE, 1)
+        val text = configuration(version++)
+        val engine =
+            ENGINE_ENTRY.find(text)!!.value
+                .replace("\"$ENGINE_SERVICE\"", "\"$STUTTERING_ENGINE_SERVICE\"")
+        val services = """$engine,{"name":"$STUTTERING_SERVICE"}"""
+        store.write(
+            "op/config",
+            text.replace("\"routes\":[", "\"routes\":[$safe,$unsafe,$stream,")
+                .replace("\"services\":[", "\"services\":[$services,")
+        )
+    }
 
     override fun close() {
         routers.forEach { it.close() }
+        stutteringServers.forEach { it.close() }
         proxy.stop()
         loop.stop()
     }
@@ -105,5 +135,11 @@
         const val ROUTERS = 3
         const val EVENT_MS = 25L
         const val GRACE_S = 6.0
+        const val ENGINE_SERVICE = "model"
+        const val PLAIN_SERVICE = "desk"
+        const val STUTTERING_SERVICE = "stuttering"
+        const val STUTTERING_ENGINE_SERVICE = "stuttering-model"
+        val ENGINE_ENTRY = Regex("""\{"name":"$ENGINE_SERVICE".*]}}""", RegexOption.DOT_MATCHES_ALL)
+        val ADDRESS = Regex("""[\d.]+:\d+""")
     }
 }
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
@@ -25,13 +25,17 @@
                 // several at once.
                 it("keep their guarantees to callers and serve again afterwards, seed $seed") {
                     val folder = emptyFolder(seed)
-                    SoakSite(folder).use { site ->
+                    SoakSite(folder, seed).use { site ->
                         site.awaitService()
-                        val faults = planFaults(seed, site, lengthMs())
+                        val faults = site.planAllFaults(seed)
                         val results = site.injectAll(faults, seed)
                         val served = results.count { it.status == 200 && it.isWhole }
                         val summary = "seed $seed: $served of ${results.size} served"
-                        println("soak $summary, ${faults.size} faults")
+                        val stuttered = site.stutteringServers.sumOf { it.runs.size }
+                        println(
+                            "soak $summary, $stuttered run at stuttering servers, " +
+                                "${faults.size} faults"
+                        )
                         withClue("$summary, logs in $folder, faults $faults") {
                             site.awaitService()
                             guaranteeViolations(results, site).shouldBeEmpty()
@@ -49,6 +53,11 @@
 private const val CALLERS = 6
 private const val CALL_PAUSE_MS = 40L
 
+/** Callers that call servers that stutter in quick succession, so connections are reused often. */
+private const val STUTTERING_CALLERS = 4
+private const val STUTTERING_CALL_PAUSE_MS = 5L
+private val STUTTERING_KINDS = CallKind.entries - CallKind.SOUND
+
 /** Returns a folder for the logs of [seed] that has no logs of a previous run. */
 private fun emptyFolder(seed: Int): Path {
     val folder = LOGS.resolve("seed-$seed")
@@ -75,25 +84,32 @@
     }
 }
 
+private fun SoakSite.planAllFaults(seed: Int): List<PlannedFault> {
+    val faults = planFaults(seed, this, lengthMs()) + planStutteringFaults(seed, this, lengthMs())
+    return faults.sortedBy { it.atMs }
+}
+
 /** Injects [faults] while callers send requests, and returns the results of the callers. */
 private fun SoakSite.injectAll(faults: List<PlannedFault>, seed: Int): List<CallResult> {
     val results = CopyOnWriteArrayList<CallResult>()
     val startedAt = System.nanoTime()
     val endsAt = startedAt + (lengthMs() + RECOVERY_MS / 4) * 1_000_000
     val pool = Executors.newCachedThreadPool()
-    repeat(CALLERS) { number ->
-        pool.execute {
-            val random = Random(seed * CALLERS + number)
-            val caller = SoakCaller()
-            var count = 0
-            while (System.nanoTime() < endsAt) {
-                val router = routers.random(random)
-                val id = "$seed-$number-${count++}"
-                results.add(caller.call(router.clients, CallKind.entries.random(random), id))
-                Thread.sleep(CALL_PAUSE_MS)
-            }
+    fun call(number: Int, kinds: List<CallKind>, pauseMs: Long) {
+        val random = Random(seed * CALLERS + number)
+        val caller = SoakCaller()
+        var count = 0
+        while (System.nanoTime() < endsAt) {
+            val router = routers.random(random)
+            val id = "$seed-$number-${count++}"
+            results.add(caller.call(router.clients, kinds.random(random), id))
+            Thread.sleep(pauseMs)
         }
     }
+    repeat(CALLERS) { pool.execute { call(it, CallKind.SOUND, CALL_PAUSE_MS) } }
+    repeat(STUTTERING_CALLERS) {
+        pool.execute { call(CALLERS + it, STUTTERING_KINDS, STUTTERING_CALL_PAUSE_MS) }
+    }
     faults.forEach { planned ->
         val waitMs = planned.atMs - (System.nanoTime() - startedAt) / 1_000_000
         if (waitMs > 0) Thread.sleep(waitMs)
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
@@ -54,8 +54,8 @@
     private val store = StoreStandIn(loop)
     private val engines =
         listOf("a1" to "a", "a2" to "a", "b1" to "b", "b2" to "b")
-            .map { (id, zone) -> ServerProcess(id, zone, "model") }
-    private val plainServers = listOf("d1", "d2").map { ServerProcess(it, "a", "desk") }
+            .map { (id, zone) -> serverProcess(id, zone, "model") }
+    private val plainServers = listOf("d1", "d2").map { serverProcess(it, "a", "desk") }
     private val servers = engines + plainServers
     private val changes = ConfigurationChanges()
     private val router: RouterProcess
@@ -84,7 +84,7 @@
     /** Waits until the router serves each kind of request. */
     fun awaitService() {
         val caller = SoakCaller(CALL_DEADLINE_MS)
-        CallKind.entries.forEach { kind ->
+        CallKind.SOUND.forEach { kind ->
             var number = 0
             await(START_MS) {
                 caller.call(router.clients, kind, "first-$kind-${number++}").status == 200
@@ -101,7 +101,7 @@
                 val caller = SoakCaller(CALL_DEADLINE_MS)
                 var count = 0
                 while (System.nanoTime() < endsAtNanos) {
-                    val kind = CallKind.entries[(number + count) % CallKind.entries.size]
+                    val kind = CallKind.SOUND[(number + count) % CallKind.SOUND.size]
                     results.add(caller.call(router.clients, kind, "$number-${count++}"))
                     Thread.sleep(CALL_PAUSE_MS)
                 }
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/RouterFixture.kt
@@ -141,16 +141,17 @@
  * A configuration with four routes: a stream route, one whose streams may run only once, a safe
  * route and an unsafe route.
  */
-internal fun configuration(version: Int = 1, keys: String = "\"key\""): String {
-    fun route(path: String, kind: String, service: String, attempts: Int) =
-        """{"name":"$path","host":"h.example","pathPrefix":"/$path/","kind":"$kind",
-        "timeoutMs":3000,"targetLatencyMs":500,"priority":0,"service":"$service",
-        "maxAttempts":$attempts,"resumeStreams":${path == "s"},"targetGapMs":200}"""
-    return """{"version":$version,"routes":[${route("s", "stream", "model", 2)},
+internal fun configuration(version: Int = 1, keys: String = "\"key\""): String =
+    """{"version":$version,"routes":[${route("s", "stream", "model", 2)},
         ${route("single", "stream", "model", 2)},
         ${route("safe", "safe", "desk", 2)},${route("once", "unsafe", "desk", 1)}],
         "services":[{"name":"model","engine":{"slots":134,"kvTokenBytes":100000,"stride":2,
         "models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":1000,"layers":8,
         "layerMb":100,"activationBytes":1,"kinds":[{"name":"card","mb":2000}]}},
         {"name":"desk"}],"tenants":[{"name":"shop","apiKeys":[$keys]}]}"""
-}
+
+/** A route of a configuration, as JSON text. */
+internal fun route(path: String, kind: String, service: String, attempts: Int): String =
+    """{"name":"$path","host":"h.example","pathPrefix":"/$path/","kind":"$kind",
+    "timeoutMs":3000,"targetLatencyMs":500,"priority":0,"service":"$service",
+    "maxAttempts":$attempts,"resumeStreams":${path == "s"},"targetGapMs":200}"""
