--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
@@ -65,6 +65,7 @@
     return Files.createDirectories(folder)
 }
 
+// Seed 2 failed when a late copy of an answer gave its status to the next answer.
 private fun seeds(): List<Int> =
     System.getProperty("soak.seeds", "1,2").split(',').map { it.trim().toInt() }
 
