Relay no success of a stream without a signature, whatever its status

What callers could see: a success that no server vouches for. Cause: the signature was required of status 200 only. Change: it is required of 200 to 299, as for plain requests. Evidence: InvalidStatusSpec; before, a stream that may run only once ended with 201 and the bytes of a server in trouble; found by the review.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -153,7 +153,7 @@
         val info = current.info
         context.notices.record(current.path.first, info)
         when {
-            info.status == OK && !info.isSigned -> leavePath("unsigned answer")
+            info.status in SUCCESSES && !info.isSigned -> leavePath("unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
             response.hasSentHead || attempts.mayRetry -> leavePath("status ${info.status}")
@@ -284,6 +284,7 @@
 
     private companion object {
         const val OK = 200
+        val SUCCESSES = 200..299
 
         const val PATH_WAIT_MS = 50L
         const val NOT_RUN_PAUSE_MS = 80L
--- a/router/src/test/kotlin/org/jacinthlink/router/InvalidStatusSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/InvalidStatusSpec.kt
@@ -10,8 +10,9 @@
 import org.jacinthlink.router.standins.reportResponse
 import org.jacinthlink.router.standins.requestIdIn
 
-/** A server in trouble, which answers each request with the status 000. */
-private class ZeroStatusServer(service: String) : AutoCloseable {
+/** A server in trouble, which answers each request with a head that begins with [statusAndId]. */
+private class FaultyServer(service: String, private val statusAndId: (String) -> String) :
+    AutoCloseable {
     private val server = RawServer(::serve)
     val entry = server.entry(service)
 
@@ -19,34 +20,40 @@
         val input = socket.getInputStream().bufferedReader()
         while (true) {
             val id = requestIdIn(readRequestHead(input) ?: return)
-            val answer = if (id == null) reportResponse("zero") else zeroAnswer(id)
+            val answer = if (id == null) reportResponse("faulty") else answer(id)
             socket.getOutputStream().write(answer.toByteArray())
         }
     }
 
-    private fun zeroAnswer(id: String) =
-        "HTTP/1.1 000 Unknown\r\nAttempt-Id: $id\r\nResponse-Seal: s\r\n" +
-            "Content-Length: 5\r\n\r\nwrong"
+    private fun answer(id: String) =
+        "${statusAndId(id)}Content-Length: 5\r\n\r\nwrong"
 
     override fun close() = server.close()
 }
 
 class InvalidStatusSpec :
     DescribeSpec({
-        /** Replaces all servers of [service] by one that answers with the status 000. */
-        fun withZeroStatus(service: String, action: (RouterFixture) -> Unit) =
+        /** Replaces all servers of [service] by a [FaultyServer]. */
+        fun withFaulty(
+            service: String,
+            statusAndId: (String) -> String,
+            action: (RouterFixture) -> Unit
+        ) =
             RouterFixture().use { fixture ->
-                ZeroStatusServer(service).use { server ->
+                FaultyServer(service, statusAndId).use { server ->
                     fixture.awaitPaths()
                     val replaced =
                         if (service == "desk") fixture.plainServers else fixture.engines
                     replaced.forEach { fixture.store.delete("servers/${it.instanceId}") }
-                    fixture.store.write("servers/zero", server.entry)
+                    fixture.store.write("servers/faulty", server.entry)
                     Thread.sleep(1_500)
                     action(fixture)
                 }
             }
 
+        fun withZeroStatus(service: String, action: (RouterFixture) -> Unit) =
+            withFaulty(service, ::zeroStatus, action)
+
         // Guards against callers that get bytes that are no response in the protocol.
         fun shouldBeOwnError(answer: String) {
             answer shouldStartWith "HTTP/1.1 502"
@@ -67,4 +74,18 @@
                 withZeroStatus("model") { shouldBeOwnError(it.call("/s/x", "stream-1")) }
             }
         }
+
+        describe("a success other than 200 without a signature") {
+            // Guards against a success that no server vouches for.
+            it("is a failure of a stream that may run only once") {
+                withFaulty("model", ::unsignedSuccess) {
+                    shouldBeOwnError(it.call("/single/x", "single-1"))
+                }
+            }
+        }
     })
+
+private fun zeroStatus(id: String) =
+    "HTTP/1.1 000 Unknown\r\nAttempt-Id: $id\r\nResponse-Seal: s\r\n"
+
+private fun unsignedSuccess(id: String) = "HTTP/1.1 201 Created\r\nAttempt-Id: $id\r\n"
