Leave a stream in which the head of another response stands

A late answer that comes between the events of a stream without chunks was forwarded: its head as one event, then its events, which may be those of another request. An event with a line that belongs to a head of HTTP, or that is joined with the beginning of one, now ends the attempt; a stream that may be resumed goes on after its last event. Data and comments may be any text.

Bytes that begin inside a data field cannot be told from text until a line of a head follows, and a single byte there never can.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/EventSplitter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EventSplitter.kt
@@ -1,13 +1,16 @@
 package org.jacinthlink.router.relay
 
 import java.io.ByteArrayOutputStream
+import org.jacinthlink.platform.forward.isPartOfHead
 
 /**
  * A complete event of a stream.
  *
  * @property id Value of the `id` field, or null if the event has none.
+ * @property isForeign True if a line of it belongs to the head of a response, so that bytes of
+ *   another response have come between the events.
  */
-internal class StreamEvent(val bytes: ByteArray, val id: Long?)
+internal class StreamEvent(val bytes: ByteArray, val id: Long?, val isForeign: Boolean)
 
 /**
  * Splits the bytes of an event stream into complete events, because a server may stop in the middle
@@ -32,8 +35,7 @@
                 if (atLineStart) {
                     pending.write(part, from, i + 1 - from)
                     from = i + 1
-                    val bytes = pending.toByteArray()
-                    events.add(StreamEvent(bytes, eventId(bytes)))
+                    events.add(event(pending.toByteArray()))
                     pending.reset()
                     atLineStart = false
                 } else {
@@ -47,10 +49,13 @@
         return events
     }
 
-    private fun eventId(bytes: ByteArray): Long? =
-        bytes.toString(Charsets.ISO_8859_1)
-            .lineSequence()
-            .firstOrNull { it.startsWith(ID_FIELD) }
+    private fun event(bytes: ByteArray): StreamEvent {
+        val lines = bytes.toString(Charsets.ISO_8859_1).lines()
+        return StreamEvent(bytes, eventId(lines), lines.any(::isPartOfHead))
+    }
+
+    private fun eventId(lines: List<String>): Long? =
+        lines.firstOrNull { it.startsWith(ID_FIELD) }
             ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
 
     private companion object {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAttempt.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAttempt.kt
@@ -16,11 +16,11 @@
     /** Called when status and headers have been received. */
     fun onHead(attempt: StreamAttempt)
 
-    /** Called for each part of the body of a response with status 200. */
-    fun onPart(attempt: StreamAttempt, part: ByteArray)
+    /** Called for the events that each part of a response with status 200 completes. */
+    fun onEvents(attempt: StreamAttempt, events: List<StreamEvent>)
 
-    /** Called when an event or an error response is longer than any valid one. */
-    fun onOversized(attempt: StreamAttempt)
+    /** Called when what follows in the response cannot belong to it, because of [cause]. */
+    fun onInvalidBody(attempt: StreamAttempt, cause: String)
 
     /** Called when the response is complete. */
     fun onComplete(attempt: StreamAttempt)
@@ -81,8 +81,16 @@
     }
 
     override fun onBody(part: ByteArray) {
-        if (info.status == OK) listener.onPart(this, part) else errorBody.write(part)
-        if (isOversized) listener.onOversized(this)
+        if (info.status == OK) streamReceived(part) else errorBody.write(part)
+        if (isOversized) listener.onInvalidBody(this, "oversized event")
+    }
+
+    private fun streamReceived(part: ByteArray) {
+        val events = splitter.feed(part)
+        val ownEvents = events.takeWhile { !it.isForeign }
+        listener.onEvents(this, ownEvents)
+        // Events after the foreign bytes may belong to another request too.
+        if (ownEvents.size < events.size) listener.onInvalidBody(this, "foreign bytes")
     }
 
     override fun onComplete() = listener.onComplete(this)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -178,10 +178,9 @@
         retryLater(NOT_RUN_PAUSE_MS, "not run")
     }
 
-    private fun bodyReceived(current: StreamAttempt, part: ByteArray) {
+    private fun eventsReceived(current: StreamAttempt, events: List<StreamEvent>) {
         val nowMs = context.clockMs()
         val isFirst = response.firstEventAtMs == null
-        val events = current.splitter.feed(part)
         if (!response.forward(events, current.info.status, current.callerHeaders, nowMs)) return
         if (isFirst) context.metrics.firstEvent(nowMs - request.startedAtMs)
         current.lastActivityAtMs = nowMs
@@ -263,10 +262,11 @@
     private inner class AttemptCallbacks : StreamAttemptListener {
         override fun onHead(attempt: StreamAttempt) = headReceived(attempt)
 
-        override fun onPart(attempt: StreamAttempt, part: ByteArray) = bodyReceived(attempt, part)
+        override fun onEvents(attempt: StreamAttempt, events: List<StreamEvent>) =
+            eventsReceived(attempt, events)
 
-        override fun onOversized(attempt: StreamAttempt) {
-            if (this@StreamRelay.attempt === attempt) leavePath("oversized event")
+        override fun onInvalidBody(attempt: StreamAttempt, cause: String) {
+            if (this@StreamRelay.attempt === attempt) leavePath(cause)
         }
 
         override fun onComplete(attempt: StreamAttempt) {
