--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ResponseHead.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ResponseHead.kt
@@ -63,7 +63,7 @@
         fun parse(lines: List<String>): ResponseHead {
             val status = FINAL_OR_INTERIM.matchEntire(lines.first())?.groupValues?.get(1)
             status ?: throw ProtocolException("not a status line: ${lines.first()}")
-            if (lines.sumOf { STATUS_LINE.findAll(it).count() } > 1) {
+            if (lines.sumOf(::statusLinesIn) > 1) {
                 throw ProtocolException("two status lines in one head")
             }
             return ResponseHead(status.toInt(), parseFields(lines.drop(1)))
@@ -71,7 +71,7 @@
 
         /** Fails unless [lines] are the fields of one trailer. */
         fun checkTrailer(lines: List<String>) {
-            if (lines.any(STATUS_LINE::containsMatchIn)) {
+            if (lines.any { statusLinesIn(it) > 0 }) {
                 throw ProtocolException("a status line in a trailer")
             }
             parseFields(lines)
@@ -87,17 +87,23 @@
         }
 
         private fun parseField(line: String): Pair<String, String> {
-            val (name, value) =
-                FIELD.matchEntire(line)?.destructured
-                    ?: throw ProtocolException("not a field: $line")
-            return name to value
+            val name = line.substringBefore(':', "")
+            val token = name.trimEnd(' ', '\t')
+            if (token.isEmpty() || !token.all { it in TOKEN_CHARACTERS }) {
+                throw ProtocolException("not a field: $line")
+            }
+            return name to line.substring(name.length + 1)
         }
 
+        private fun statusLinesIn(line: String): Int =
+            if (VERSION in line) STATUS_LINE.findAll(line).count() else 0
+
         private val FINAL_OR_INTERIM =
             Regex("""HTTP/1\.\d (1(?!01)\d\d|[2-5]\d\d)(?: .*)?""", RegexOption.DOT_MATCHES_ALL)
+        private const val VERSION = "HTTP/"
         private val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d\d\d""")
-        private val FIELD =
-            Regex("""([!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*):(.*)""", RegexOption.DOT_MATCHES_ALL)
+        private val TOKEN_CHARACTERS =
+            (('0'..'9') + ('A'..'Z') + ('a'..'z') + "!#$%&'*+-.^_`|~".toList()).toSet()
         private val LENGTH = Regex("""\d{1,18}""")
         private val BLANKS = setOf(' ', '\t')
         private val STATUSES_WITHOUT_BODY = setOf(204, 304)
