--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ResponseHead.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/ResponseHead.kt
@@ -101,7 +101,9 @@
         private val FINAL_OR_INTERIM =
             Regex("""HTTP/1\.\d (1(?!01)\d\d|[2-5]\d\d)(?: .*)?""", RegexOption.DOT_MATCHES_ALL)
         private const val VERSION = "HTTP/"
-        private val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d\d\d""")
+
+        /** A `Via` field may hold a version and an address, whose first number is no status. */
+        private val STATUS_LINE = Regex("""HTTP/\d\.\d\s+\d\d\d(?=\s|$)""")
         private val TOKEN_CHARACTERS =
             (('0'..'9') + ('A'..'Z') + ('a'..'z') + "!#$%&'*+-.^_`|~".toList()).toSet()
         private val LENGTH = Regex("""\d{1,18}""")
--- a/runtime/src/test/kotlin/org/jacinthlink/runtime/http/PeerCutResponseSpec.kt
+++ b/runtime/src/test/kotlin/org/jacinthlink/runtime/http/PeerCutResponseSpec.kt
@@ -177,6 +177,23 @@
             }
         }
 
+        describe("a response with a version and an address in a field") {
+            // Guards against a sound answer that is taken for two joined ones.
+            it("is an answer") {
+                ServerSocket(0).use { server ->
+                    thread(isDaemon = true) {
+                        server.accept().apply {
+                            getInputStream().read()
+                            getOutputStream().write(VIA_ADDRESS.toByteArray())
+                        }
+                    }
+                    val client = peerClient()
+                    client.outcomeOfCall("http://127.0.0.1:${server.localPort}/") shouldBe "200 ok"
+                    client.close()
+                }
+            }
+        }
+
         describe("a server that repeats no ids") {
             // Guards against a second call to it that reads a late response to the first one.
             it("gets each call over a new connection") {
@@ -244,3 +261,6 @@
         "in chunks" to "HTTP/1.1 200 OK\r\nX-Server: a\r\nTransfer-Encoding: chunked\r\n\r\n",
         "without a reason" to "HTTP/1.1 200 \r\nX-Server: a\r\nContent-Length: 5\r\n\r\n"
     )
+
+private const val VIA_ADDRESS =
+    "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 192.0.2.1\r\nContent-Length: 2\r\n\r\nok"
