Give up a stream's attempt only once its successor has answered

Callers saw a stream end in the middle although its server worked: it was moved off a draining or slow server, or one that was silent for a second, was rejected by all others, and was closed.

Cause: leavePath cancelled the attempt first, and the next one was sent afterwards. Room by this router's books does not say that a path answers.

Now one rule holds for all moves (draining, silent, slow to begin): the current attempt goes on until its successor has delivered an event. A successor that is rejected, lost or silent costs the stream nothing; one that answers later than a first event may be is too far behind and is given up; if the current attempt is lost meanwhile, the successor takes its place. Events reach the caller once and in order by their number. An attempt is registered before it is sent, because it may fail at once.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -50,6 +50,9 @@
     private val layersByAddress =
         parts.groupBy { it.server.address }.mapValues { (_, own) -> own.sumOf { it.layers.size } }
 
+    /** True if the server at [address] runs a part. */
+    fun passesThrough(address: String): Boolean = address in layersByAddress
+
     /** Number of layers that the server at [address] runs. */
     fun layersAt(address: String): Int = layersByAddress[address] ?: 0
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
@@ -6,7 +6,8 @@
 /** Records how attempts of one streamed request failed, and has their servers checked. */
 internal class AttemptFailures(
     private val context: RelayContext,
-    private val request: RelayRequest
+    private val request: RelayRequest,
+    private val pathSelection: PathSelection
 ) {
     /** Attempts that were lost before their servers had begun to answer. */
     private var lossesBeforeBegun = 0
@@ -31,10 +32,19 @@
         }
     }
 
-    /** Records that [attempt], of which its servers may have run a part, has failed. */
+    /** Records that [attempt] has failed or is no longer needed. */
     fun attemptFailed(attempt: StreamAttempt) {
+        if (attempt.wasUnsent) return
+        pathSelection.recordFailure(attempt)
+        if (attempt.wasInterrupted && !attempt.hasEvents) lossesBeforeBegun++
+        recordLoss(attempt)
+    }
+
+    /** Records that a server of [attempt], which is still open, does not answer. */
+    fun serverSilent(attempt: StreamAttempt) = recordLoss(attempt)
+
+    private fun recordLoss(attempt: StreamAttempt) {
         if (attempt.hasEvents) return
-        if (attempt.wasInterrupted) lossesBeforeBegun++
         context.contents.attemptLost(
             attempt.path,
             request.content,
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathMonitor.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathMonitor.kt
@@ -31,7 +31,7 @@
     }
 
     private fun shouldLeave(stream: StreamRelay, nowMs: Long): Boolean {
-        val parts = stream.path?.parts.orEmpty()
+        val parts = stream.newestAttempt?.path?.parts.orEmpty()
         val drainingForMs =
             parts.mapNotNull { drainingForMs(it.server.address, nowMs) }.maxOrNull() ?: return false
         return shouldLeaveDrainingServer(stream.remainingMs, drainingForMs, drainMs)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
@@ -31,12 +31,16 @@
         choose(nowMs, demand) { bound.allows(it) && it.first.address !in failedFirstServers }
             ?: choose(nowMs, demand) { bound.allows(it) }
 
-    /** True if another path would take the request if it left [current], which is unresponsive. */
-    fun hasSuccessor(current: ServingPath, nowMs: Long): Boolean {
+    /**
+     * The path for an attempt beside the one over [current], or null if there is none now. It begins
+     * at another server if possible.
+     */
+    fun successor(current: ServingPath, nowMs: Long): ServingPath? {
         val nextBound = bound.ifInterruptedAt(current.first.address)
+        val avoided = failedFirstServers + current.first.address
         return choose(nowMs, PathDemand.RESUMPTION) {
-            it.id != current.id && nextBound.allows(it)
-        } != null
+            nextBound.allows(it) && it.first.address !in avoided
+        } ?: choose(nowMs, PathDemand.RESUMPTION) { nextBound.allows(it) && it.id != current.id }
     }
 
     /** True if the request may move from [path] to one whose first server has not run it. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAdmission.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.admission.QueueDecision
+import org.jacinthlink.decision.admission.WaitingRequest
 import org.jacinthlink.decision.admission.admissionQueue
 import org.jacinthlink.decision.fleet.ServiceDefinition
 
@@ -20,7 +21,8 @@
      * Starts [stream] if a path has capacity for it. Otherwise queues it, or refuses it if it would
      * time out in the queue.
      */
-    fun admit(stream: StreamRelay, service: ServiceDefinition) {
+    fun admit(stream: StreamRelay, incoming: RelayRequest) {
+        val service = incoming.service
         val queue = queues.getOrPut(service.name) { ServiceQueue(service) }
         queue.service = service
         val nowMs = clockMs()
@@ -28,7 +30,9 @@
             stream.admitted()
             return
         }
-        val request = stream.toWaitingRequest()
+        val request = with(incoming) {
+            WaitingRequest(stream, priority, expectedTokens, startedAtMs, route.targetLatencyMs)
+        }
         val pausedMs = paths.pausedMs(service, failureDetector.failed, nowMs)
         if (nowMs + pausedMs > request.arrivedAtMs + MAX_PAUSE_WAIT_MS) {
             stream.refused("servers paused", pausedMs)
--- /dev/null
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -0,0 +1,75 @@
+package org.jacinthlink.router.relay
+
+import org.jacinthlink.decision.retry.MoveReason
+import org.jacinthlink.decision.retry.isSettledByEvent
+
+/**
+ * The open attempts of a streamed request: one at most that serves the caller, and during a move a
+ * successor.
+ *
+ * The current attempt is given up only once its successor has delivered an event. So a successor
+ * that is rejected, fails or falls silent costs the caller nothing.
+ */
+internal class StreamHandover {
+    private var reason: MoveReason? = null
+
+    /** The attempt that serves the caller, or null if there is none. */
+    var current: StreamAttempt? = null
+        private set
+
+    /** The attempt that is to replace [current] and has not answered yet, or null. */
+    var successor: StreamAttempt? = null
+        private set
+
+    /** All open attempts. */
+    val attempts: List<StreamAttempt> get() = listOfNotNull(current, successor)
+
+    /** The attempt that was started last, or null. */
+    val newest: StreamAttempt? get() = successor ?: current
+
+    /** True if there is no open attempt. */
+    val isEmpty: Boolean get() = current == null
+
+    /** Adds the first attempt after [isEmpty] was true. */
+    fun begin(attempt: StreamAttempt) {
+        check(isEmpty) { "the current attempt is replaced only by its successor" }
+        current = attempt
+    }
+
+    /** Adds an attempt that is to replace the current one because of [moveReason]. */
+    fun beginMove(attempt: StreamAttempt, moveReason: MoveReason) {
+        check(successor == null) { "there is a successor already" }
+        successor = attempt
+        reason = moveReason
+    }
+
+    operator fun contains(attempt: StreamAttempt): Boolean =
+        attempt === current || attempt === successor
+
+    /**
+     * Records an event of [attempt], and returns the attempt that is needless from now on, or null.
+     *
+     * @param maxLagMs Time by which a successor may be behind the current attempt.
+     */
+    fun answered(attempt: StreamAttempt, maxLagMs: Long): StreamAttempt? {
+        val next = successor ?: return null
+        val replaced = current ?: return null
+        if (attempt !== next) return next.takeIf { reason?.isSettledByEvent() == true }
+        // The caller would wait until the successor has made the events that it has already.
+        if (replaced.lastActivityAtMs - next.startedAtMs > maxLagMs) return next
+        current = next
+        successor = replaced
+        return replaced
+    }
+
+    /**
+     * Removes [attempt], which has ended; a successor then takes the place of the current attempt.
+     * Returns false if it had been removed before.
+     */
+    fun remove(attempt: StreamAttempt): Boolean {
+        if (attempt !in this) return false
+        if (attempt === current) current = successor
+        successor = null
+        return true
+    }
+}
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
@@ -39,7 +39,7 @@
         )
     }
 
-    /** Records that [attempt] stays on its unresponsive path because of [obstacle]. */
+    /** Records that [attempt] stays on its path because of [obstacle]. */
     fun stays(attempt: StreamAttempt, obstacle: MoveObstacle, nowMs: Long) {
         if (attempt.obstacle == obstacle) return
         attempt.obstacle = obstacle
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
@@ -1,43 +1,67 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.paths.exponentialBackoff
+import org.jacinthlink.decision.retry.MoveReason
 import org.jacinthlink.decision.retry.StreamAttempts
 
-/** Decides whether a streamed request may leave its path before the attempt there has ended. */
+/** Decides whether a streamed request may start an attempt beside the one that is open. */
 internal class StreamMoves(
     private val context: RelayContext,
     private val request: RelayRequest,
     private val attempts: StreamAttempts,
     private val pathSelection: PathSelection
 ) {
-    /** True if the stream may leave [path], which works, because another path has capacity. */
-    fun mayMove(path: ServingPath, nowMs: Long): Boolean =
-        attempts.mayRetry &&
-            context.retryBudget.allowsOptionalRetry(nowMs) &&
-            pathSelection.mayLeave(path) &&
-            !isHarmful(nowMs) &&
-            pathSelection.hasAlternative(path, nowMs)
-
-    /** Why the stream stays on [path], which is unresponsive, or null if another path takes it. */
-    fun obstacle(path: ServingPath, nowMs: Long): MoveObstacle? =
+    private val backoff = exponentialBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS)
+
+    /** Records that a move has ended; [hasAnswered] is true if one of its attempts has answered. */
+    fun ended(hasAnswered: Boolean, nowMs: Long) =
+        if (hasAnswered) backoff.reset() else backoff.recordFailure(nowMs)
+
+    /** Why the stream stays on [path] in spite of [reason], or null if another path takes it. */
+    fun obstacle(path: ServingPath, reason: MoveReason, nowMs: Long): MoveObstacle? =
         when {
             !attempts.mayRetry -> MoveObstacle.NO_ATTEMPTS_LEFT
-            !context.retryBudget.allowsRetry(nowMs) -> MoveObstacle.RETRY_BUDGET
-            isHarmful(nowMs) -> MoveObstacle.HARMFUL_CONTENT
-            !pathSelection.hasSuccessor(path, nowMs) -> MoveObstacle.NO_PATH
+            !backoff.allowsAttempt(nowMs) -> MoveObstacle.FAILED_BEFORE
+            !hasBudget(reason, nowMs) -> MoveObstacle.RETRY_BUDGET
+            context.contents.harmfulIn(request.content, nowMs) != null ->
+                MoveObstacle.HARMFUL_CONTENT
+            !hasPath(path, reason, nowMs) -> MoveObstacle.NO_PATH
             else -> null
         }
 
-    private fun isHarmful(nowMs: Long): Boolean =
-        context.contents.harmfulIn(request.content, nowMs) != null
+    private fun hasBudget(reason: MoveReason, nowMs: Long): Boolean =
+        when (reason) {
+            MoveReason.ServerSilent -> context.retryBudget.allowsRetry(nowMs)
+            // The path works, so others may need the retry more.
+            MoveReason.ServerLeaves, MoveReason.SlowToBegin ->
+                context.retryBudget.allowsOptionalRetry(nowMs)
+        }
+
+    private fun hasPath(path: ServingPath, reason: MoveReason, nowMs: Long): Boolean =
+        when (reason) {
+            MoveReason.ServerSilent -> pathSelection.successor(path, nowMs) != null
+            MoveReason.ServerLeaves, MoveReason.SlowToBegin ->
+                pathSelection.mayLeave(path) &&
+                    pathSelection.hasAlternative(path, nowMs) &&
+                    pathSelection.successor(path, nowMs) != null
+        }
+
+    private companion object {
+        const val MIN_BACKOFF_MS = 80L
+        const val MAX_BACKOFF_MS = 640L
+    }
 }
 
-/** Why a stream cannot leave an unresponsive path. */
+/** Why a stream stays on its path. */
 internal enum class MoveObstacle {
     /** The request may run only once, or has run too often. */
     NO_ATTEMPTS_LEFT,
 
-    /** The retry budget that all routers share is used up. */
+    /** Another path has just rejected this stream, or failed it. */
+    FAILED_BEFORE,
+
+    /** The retry budget that all routers share is used up, or needed for lost streams. */
     RETRY_BUDGET,
 
     /** The request has a content that ends servers. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -1,14 +1,15 @@
 package org.jacinthlink.router.relay
 
-import org.jacinthlink.decision.admission.WaitingRequest
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.retry.MoveReason
 import org.jacinthlink.decision.retry.StreamAttempts
 import org.jacinthlink.transport.CallFailure
 import org.jacinthlink.transport.Timer
 
 /**
  * Relays one streamed request over a path of engines, and continues over another path when that one
- * fails.
+ * fails, falls silent or is about to end. An attempt that works is given up only once the next one
+ * has answered.
  */
 internal class StreamRelay(
     private val context: RelayContext,
@@ -19,42 +20,36 @@
     val tokens: Long = request.expectedTokens
     private val streamLog = StreamLog(context, request)
     private val pathSelection = PathSelection(context, request, tokens)
-    private val failures = AttemptFailures(context, request)
-    private var attempt: StreamAttempt? = null
+    private val failures = AttemptFailures(context, request, pathSelection)
+    private val handover = StreamHandover()
     private val attempts = StreamAttempts(request.route.isIdempotent)
     private val moves = StreamMoves(context, request, attempts, pathSelection)
     private val response = StreamResponse(request.exchange, request.info.lastEventId)
     private val ending = StreamEnding(request, response, ::finished)
+    private val sender = StreamSender(context, request, attempts, response, streamLog)
+    private val callbacks = AttemptCallbacks()
     private var deadline: Timer? = null
     private var retry: Timer? = null
     private var isDone = false
 
-    /** Path of the current attempt, or null. */
-    val path: ServingPath? get() = attempt?.path
+    /** All open attempts: one, or two while the stream moves to another path. */
+    val openAttempts: List<StreamAttempt> get() = handover.attempts
 
-    /**
-     * Time of the last event from the current path. Before the first one, it is the start of the
-     * attempt, or of the request if there is no attempt.
-     */
-    val lastActivityAtMs: Long get() = attempt?.lastActivityAtMs ?: request.startedAtMs
-
-    /** True once the current path has delivered an event. */
-    val hasReceivedEvents: Boolean get() = attempt?.hasEvents == true
-
-    /** Start of the current attempt while it waits for its first event, otherwise null. */
-    val firstEventPendingSinceMs: Long? get() = attempt?.takeIf { !it.hasEvents }?.startedAtMs
+    /** The open attempt that was started last, or null. */
+    val newestAttempt: StreamAttempt? get() = handover.newest
 
     /** Expected time until the stream ends. */
     val remainingMs: Long get() = response.expectedRemainingMs(request.expectedEvents)
 
-    /** True if the stream may leave its path, which works, for another one that has capacity. */
-    fun mayMove(nowMs: Long): Boolean = attempt?.let { moves.mayMove(it.path, nowMs) } == true
+    /** True if another path takes the stream, which should move because of [reason]. */
+    fun mayMove(reason: MoveReason, nowMs: Long): Boolean =
+        handover.newest?.let { moves.obstacle(it.path, reason, nowMs) == null } == true
 
     /** Starts the relay. The request is sent when a path has capacity for it. */
     fun start() {
         streams.add(this)
         request.exchange.onClientClosed { clientClosed() }
-        request.exchange.onWritable { attempt?.call?.setReading(true) }
+        request.exchange.onWritable { openAttempts.forEach { it.call?.setReading(true) } }
         deadline =
             context.loop.schedule(request.endsAtMs - context.clockMs()) {
                 if (!isDone) ending.expire()
@@ -62,18 +57,12 @@
         val nowMs = context.clockMs()
         val harmful = context.contents.harmfulIn(request.content, nowMs)
         if (harmful == null) {
-            context.admission.admit(this, request.service)
+            context.admission.admit(this, request)
         } else {
             refused(HARMFUL_CONTENT, harmful.untilMs - nowMs)
         }
     }
 
-    /** This stream as a member of an admission queue. */
-    fun toWaitingRequest(): WaitingRequest<StreamRelay> =
-        with(request) {
-            WaitingRequest(this@StreamRelay, priority, tokens, startedAtMs, route.targetLatencyMs)
-        }
-
     /** Sends the request for the first time. */
     fun admitted() {
         if (!isDone) startNextAttempt("first")
@@ -84,23 +73,21 @@
         if (!isDone) ending.giveUp(cause, retryAfterMs, mayHaveRun = false)
     }
 
-    /** True if [matches] holds for the address of a server on the current path. */
-    fun passesThrough(matches: (address: String) -> Boolean): Boolean =
-        attempt?.path?.parts?.any { matches(it.server.address) } == true
-
-    /** Leaves the current path, which is unresponsive, if another one takes the stream at once. */
-    fun leaveIfOtherPath(cause: String, nowMs: Long) {
-        val current = attempt ?: return
-        val obstacle = moves.obstacle(current.path, nowMs)
-        if (obstacle == null) leavePath(cause) else streamLog.stays(current, obstacle, nowMs)
-    }
-
-    /** Ends the current attempt as failed, and continues over another path if possible. */
-    fun leavePath(cause: String) {
-        val current = attempt ?: return
-        current.call?.cancel()
-        ended(current)
-        attemptFailed(current, cause)
+    /**
+     * Starts an attempt over another path because of [reason], if there is one that takes it. The
+     * current attempt goes on until the new one has answered.
+     */
+    fun move(reason: MoveReason, nowMs: Long) {
+        val newest = handover.newest ?: return
+        val obstacle = moves.obstacle(newest.path, reason, nowMs)
+        if (obstacle != null) return streamLog.stays(newest, obstacle, nowMs)
+        val path = pathSelection.successor(newest.path, nowMs) ?: return
+        if (!context.retryBudget.tryRetry(nowMs)) return
+        handover.successor?.let { abandon(it, reason.label) }
+        if (reason == MoveReason.ServerSilent) failures.serverSilent(newest)
+        val next = sender.attempt(path, reason.label, nowMs, callbacks)
+        handover.beginMove(next, reason)
+        sender.send(next, nowMs)
     }
 
     private fun startNextAttempt(cause: String) {
@@ -110,12 +97,18 @@
         when {
             harmful != null -> giveUp(HARMFUL_CONTENT, harmful.untilMs - nowMs)
             path == null -> waitForPath("no path")
-            attempts.count == 0 || context.retryBudget.tryRetry(nowMs) -> send(path, cause, nowMs)
+            attempts.count == 0 || context.retryBudget.tryRetry(nowMs) -> begin(path, cause, nowMs)
             attempts.awaitsResumption -> waitForPath(NO_BUDGET)
             else -> giveUp(NO_BUDGET)
         }
     }
 
+    private fun begin(path: ServingPath, cause: String, nowMs: Long) {
+        val next = sender.attempt(path, cause, nowMs, callbacks)
+        handover.begin(next)
+        sender.send(next, nowMs)
+    }
+
     private fun pathDemand(): PathDemand =
         when {
             attempts.count == 0 -> PathDemand.FIRST_ATTEMPT
@@ -135,43 +128,32 @@
         }
     }
 
-    private fun send(path: ServingPath, cause: String, nowMs: Long) {
-        if (attempts.count == 0) context.retryBudget.onFirstAttempt(nowMs)
-        attempts.sent()
-        streamLog.sent(path, cause, attempts.count, response, nowMs)
-        val next =
-            StreamAttempt(context.paths.reserve(path, tokens, nowMs), nowMs, AttemptCallbacks())
-        attempt = next
-        val usesFreshConnection = !request.route.isIdempotent
-        val httpRequest =
-            request.httpRequest(path.first, path, response.lastEventId, nowMs, usesFreshConnection)
-        next.call = context.http.send(httpRequest, next)
-        context.notices.throttle.recordSent(path.first.start, nowMs)
-    }
-
     private fun headReceived(current: StreamAttempt) {
         val info = current.info
         context.notices.record(current.path.first, info)
         when {
-            info.status in SUCCESSES && !info.isSigned -> leavePath("unsigned answer")
+            info.status in SUCCESSES && !info.isSigned -> fail(current, "unsigned answer")
             info.status == OK -> Unit
             info.hasNotRun -> notRun(current)
-            response.hasSentHead || attempts.mayRetry -> leavePath("status ${info.status}")
+            response.hasSentHead || attempts.mayRetry || handover.successor != null ->
+                fail(current, "status ${info.status}")
             else -> Unit
         }
     }
 
     private fun notRun(current: StreamAttempt) {
+        val nowMs = context.clockMs()
         attempts.notRun()
         current.call?.cancel()
         ended(current)
         streamLog.notRun(current)
-        context.paths.rejected(current.path.id, context.clockMs())
+        context.paths.rejected(current.path.id, nowMs)
         failures.checkFaultyServer(current.info)
+        if (!handover.isEmpty) return moves.ended(hasAnswered = false, nowMs)
         // A request that has had no event is not retried when the retry budget is low: a retry by
         // its caller does not use the budget, and interrupted streams need what is left of it.
         val mustSaveBudget =
-            !response.hasSentHead && !context.retryBudget.allowsOptionalRetry(context.clockMs())
+            !response.hasSentHead && !context.retryBudget.allowsOptionalRetry(nowMs)
         if (attempts.isRejectedTooOften || mustSaveBudget) return giveUp("not run")
         // A path that was full a moment ago is probably still full, so an immediate retry
         // would only use up the retry budget.
@@ -179,17 +161,23 @@
     }
 
     private fun eventsReceived(current: StreamAttempt, events: List<StreamEvent>) {
+        if (events.isEmpty()) return
         val nowMs = context.clockMs()
-        val isFirst = response.firstEventAtMs == null
-        if (!response.forward(events, current.info.status, current.callerHeaders, nowMs)) return
-        if (isFirst) context.metrics.firstEvent(nowMs - request.startedAtMs)
+        handover.answered(current, request.route.targetLatencyMs)?.let { needless ->
+            abandon(needless, "needless")
+            moves.ended(hasAnswered = needless !== current, nowMs)
+            if (needless === current) return
+        }
         current.lastActivityAtMs = nowMs
-        attempts.progressed()
         if (!current.hasEvents) {
             context.paths.answered(current.reservation)
             context.contents.begun(request.content, nowMs)
         }
         current.hasEvents = true
+        val isFirst = response.firstEventAtMs == null
+        if (!response.forward(events, current.info.status, current.callerHeaders, nowMs)) return
+        if (isFirst) context.metrics.firstEvent(nowMs - request.startedAtMs)
+        attempts.progressed()
         // A caller that reads slowly slows down its engine, instead of filling this process.
         if (!request.exchange.isWritable) current.call?.setReading(false)
     }
@@ -200,6 +188,8 @@
             current.info.status != OK -> ending.forwardError(current)
             current.splitter.hasPartialEvent -> endedEarly(current, "partial event")
             response.lastEventId == null -> endedEarly(current, "no event")
+            // The other attempt may have more events.
+            !current.hasEvents && !handover.isEmpty -> endedEarly(current, "no event")
             else -> {
                 response.end(current.info.status, current.callerHeaders)
                 finished(OK, "complete")
@@ -210,17 +200,27 @@
     /** Without a length, a lost connection looks like the end of a response. */
     private fun endedEarly(current: StreamAttempt, cause: String) {
         failures.callFailed(current, CallFailure.CONNECTION_LOST)
-        attemptFailed(current, cause)
+        fail(current, cause)
     }
 
-    private fun attemptFailed(current: StreamAttempt, cause: String) {
-        if (!current.wasUnsent) {
-            pathSelection.recordFailure(current)
-            failures.attemptFailed(current)
-        }
+    /** Ends [current], which has failed or whose answer cannot be used. */
+    private fun fail(current: StreamAttempt, cause: String) {
+        abandon(current, cause)
+        continueAfter(current, cause)
+    }
+
+    private fun abandon(current: StreamAttempt, cause: String) {
+        current.call?.cancel()
+        ended(current)
+        failures.attemptFailed(current)
         streamLog.failed(current, cause, response)
+    }
+
+    /** Continues with the other attempt, if one is open, or else with a new one. */
+    private fun continueAfter(current: StreamAttempt, cause: String) {
         val isSuspect = !response.hasSentHead && failures.isSuspect(current)
         when {
+            !handover.isEmpty -> moves.ended(hasAnswered = false, context.clockMs())
             !attempts.mayRetry -> giveUp(cause)
             isSuspect -> retryLater(LOSS_REPORT_MS, cause)
             else -> startNextAttempt(cause)
@@ -242,7 +242,7 @@
         isDone = true
         deadline?.cancel()
         retry?.cancel()
-        attempt?.let {
+        openAttempts.forEach {
             it.call?.cancel()
             ended(it)
         }
@@ -252,13 +252,12 @@
     }
 
     private fun ended(current: StreamAttempt) {
-        if (attempt !== current) return
-        attempt = null
+        if (!handover.remove(current)) return
         context.paths.release(current.reservation)
         context.admission.onFreed(request.service, tokens)
     }
 
-    /** Callbacks of the current attempt. The end of a previous attempt is ignored. */
+    /** Callbacks of the attempts. The end of one that is no longer open is ignored. */
     private inner class AttemptCallbacks : StreamAttemptListener {
         override fun onHead(attempt: StreamAttempt) = headReceived(attempt)
 
@@ -266,19 +265,18 @@
             eventsReceived(attempt, events)
 
         override fun onInvalidBody(attempt: StreamAttempt, cause: String) {
-            if (this@StreamRelay.attempt === attempt) leavePath(cause)
+            if (attempt in handover) fail(attempt, cause)
         }
 
         override fun onComplete(attempt: StreamAttempt) {
-            if (this@StreamRelay.attempt === attempt) completed(attempt)
+            if (attempt in handover) completed(attempt)
         }
 
         override fun onFailure(attempt: StreamAttempt, failure: CallFailure) {
-            if (this@StreamRelay.attempt !== attempt) return
-            ended(attempt)
+            if (attempt !in handover) return
             failures.callFailed(attempt, failure)
             if (attempt.wasUnsent) attempts.notRun()
-            attemptFailed(attempt, failure.name.lowercase())
+            fail(attempt, failure.name.lowercase())
         }
     }
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
@@ -6,6 +6,7 @@
 import org.jacinthlink.decision.paths.confirmsSuspicion
 import org.jacinthlink.decision.paths.shouldLeaveUnresponsiveServer
 import org.jacinthlink.decision.paths.stallDetector
+import org.jacinthlink.decision.retry.MoveReason
 import org.jacinthlink.router.DecisionLog
 
 /**
@@ -45,15 +46,15 @@
      *   without an event then counts as a stall.
      */
     fun moveFromUnresponsive(address: String, nowMs: Long, isNewlyDetected: Boolean) {
-        streams.filter { it.passesThrough { part -> part == address } }
-            .filter { shouldLeaveUnresponsiveServer(nowMs - it.lastActivityAtMs, isNewlyDetected) }
-            .forEach { it.leaveIfOtherPath("server silent", nowMs) }
+        streams.filter { it.newestAttempt.isSilentAt(address, nowMs, isNewlyDetected) }
+            .forEach { it.move(MoveReason.ServerSilent, nowMs) }
     }
 
     /** True if streams have received events through [address] and all of them have stalled. */
     fun areStreamsStalled(address: String, nowMs: Long): Boolean =
         confirmsSuspicion(
-            streams.filter { it.hasReceivedEvents && it.passesThrough { part -> part == address } }
+            streams.flatMap { it.openAttempts }
+                .filter { it.hasEvents && it.path.passesThrough(address) }
                 .map { nowMs - it.lastActivityAtMs }
         )
 
@@ -67,10 +68,8 @@
             log.event("own_pause", "ms" to sinceTickMs, "streams" to streams.size)
         }
         if (nowMs < graceUntilMs || streams.isEmpty()) return
-        val activities = streams.mapNotNull { stream ->
-            stream.path?.let {
-                StreamActivity(it.id, stream.lastActivityAtMs, stream.hasReceivedEvents)
-            }
+        val activities = streams.flatMap { it.openAttempts }.map {
+            StreamActivity(it.path.id, it.lastActivityAtMs, it.hasEvents)
         }
         stallDetector.pathsToProbe(activities, nowMs).forEach { reportStall(it) }
     }
@@ -86,9 +85,10 @@
         shouldLeave: (StreamRelay) -> Boolean
     ) {
         if (nowMs - lastMoveMs < MOVE_PERIOD_MS) return
-        val next = streams.firstOrNull { shouldLeave(it) && it.mayMove(nowMs) } ?: return
+        val reason = MoveReason.ServerLeaves
+        val next = streams.firstOrNull { shouldLeave(it) && it.mayMove(reason, nowMs) } ?: return
         lastMoveMs = nowMs
-        next.leavePath("server leaves")
+        next.move(reason, nowMs)
     }
 
     /**
@@ -99,13 +99,25 @@
      */
     fun moveAwaitingFirstEvent(nowMs: Long) {
         if (nowMs < graceUntilMs) return
-        val next = streams.firstOrNull { stream ->
-            val sinceMs = stream.firstEventPendingSinceMs
-            sinceMs != null && nowMs - sinceMs > FIRST_EVENT_LIMIT_MS && stream.mayMove(nowMs)
-        } ?: return
-        next.leavePath("slow to begin")
+        val reason = MoveReason.SlowToBegin
+        streams.firstOrNull { it.isSlowToBegin(nowMs) && it.mayMove(reason, nowMs) }
+            ?.move(reason, nowMs)
     }
 
+    private fun StreamRelay.isSlowToBegin(nowMs: Long): Boolean {
+        val only = openAttempts.singleOrNull() ?: return false
+        return !only.hasEvents && nowMs - only.startedAtMs > FIRST_EVENT_LIMIT_MS
+    }
+
+    private fun StreamAttempt?.isSilentAt(
+        address: String,
+        nowMs: Long,
+        isNewlyDetected: Boolean
+    ): Boolean =
+        this != null &&
+            path.passesThrough(address) &&
+            shouldLeaveUnresponsiveServer(nowMs - lastActivityAtMs, isNewlyDetected)
+
     private fun reportStall(stalled: StalledPaths) {
         log.event(
             "path_silent",
@@ -114,7 +126,8 @@
             "silent_ms" to stalled.stalledMs,
             "limit_ms" to stalled.timeoutMs
         )
-        val paths = streams.mapNotNull { it.path }.filter { it.id in stalled.paths }
+        val paths =
+            streams.flatMap { it.openAttempts }.map { it.path }.filter { it.id in stalled.paths }
         onStalledPath(
             paths.distinct().flatMap { it.parts }.map { it.server }.distinctBy { it.address }
         )
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
@@ -0,0 +1,128 @@
+package org.jacinthlink.router
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldEndWith
+import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.router.standins.EngineStandIn.Script
+import org.jacinthlink.router.standins.RouterFixture
+import org.jacinthlink.router.standins.await
+
+/** Streams that could go on at their server, but are given up for another one that does not answer. */
+class StreamGivenUpSpec :
+    DescribeSpec({
+        fun ids(answer: String) =
+            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
+
+        fun shouldBeWhole(answer: String, events: Int = EVENTS) {
+            ids(answer) shouldBe (1..events).toList()
+            answer shouldEndWith "0\r\n\r\n"
+        }
+
+        /** Runs [disturb] with the server of a stream under way, and returns the whole response. */
+        fun RouterFixture.streamWhile(disturb: (first: EngineStandIn) -> Unit): String {
+            awaitPaths()
+            return open("/s/x", "stream", extraHeaders = LONG_STREAM).use { socket ->
+                await { engines.any { it.runs.isNotEmpty() } }
+                Thread.sleep(BEGUN_MS)
+                disturb(engines.first { it.runs.isNotEmpty() })
+                socket.getInputStream().readAllBytes().decodeToString()
+            }
+        }
+
+        fun RouterFixture.drain(server: EngineStandIn) =
+            store.write("servers/${server.instanceId}", server.entry("model", state = "draining"))
+
+        fun RouterFixture.others(first: EngineStandIn) = engines.filter { it !== first }
+
+        describe("a stream whose server is draining") {
+            it("is not cut when all other servers reject it") {
+                RouterFixture(EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.script = Script.Rejecting }
+                        fixture.drain(first)
+                    }
+                    shouldBeWhole(answer)
+                }
+            }
+
+            it("is not cut when all other servers are silent for a while") {
+                RouterFixture(EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.fallSilent(SILENT_MS) }
+                        fixture.drain(first)
+                    }
+                    shouldBeWhole(answer)
+                }
+            }
+
+            // Guards against events that a caller gets twice while two servers send them.
+            it("moves to one that answers, and each event comes once") {
+                RouterFixture(EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    var from: EngineStandIn? = null
+                    val answer = fixture.streamWhile { first ->
+                        from = first
+                        fixture.drain(first)
+                    }
+                    shouldBeWhole(answer)
+                    fixture.engines.sumOf { it.runs.size } shouldBe 2
+                    from?.cancelledCount?.get() shouldBe 1
+                }
+            }
+        }
+
+        describe("a stream whose server has died") {
+            it("is not cut when its successor rejects it, and a third server takes it") {
+                RouterFixture(EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.script = Script.Rejecting }
+                        first.stop()
+                        Thread.sleep(REJECTING_MS)
+                        fixture.others(first).forEach { it.script = Script.Serve }
+                    }
+                    shouldBeWhole(answer)
+                }
+            }
+        }
+
+        describe("a stream whose server is silent for a second and goes on") {
+            it("is not cut when its successor is silent too") {
+                RouterFixture(SHORT_EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        first.fallSilent(SILENT_MS)
+                        Thread.sleep(SUCCESSOR_MS)
+                        fixture.others(first).forEach { it.fallSilent(SILENT_MS) }
+                    }
+                    shouldBeWhole(answer, SHORT_EVENTS)
+                }
+            }
+        }
+
+        describe("a stream whose server is slow to begin") {
+            // Guards against runs that are cancelled before anything has replaced them.
+            it("keeps its run when all other servers reject it") {
+                RouterFixture(eventCount = 3, eventIntervalMs = 600).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.script = Script.Rejecting }
+                    }
+                    shouldBeWhole(answer, events = 3)
+                    fixture.engines.sumOf { it.runs.size } shouldBe 1
+                }
+            }
+        }
+    })
+
+private const val EVENTS = 60
+private const val SHORT_EVENTS = 20
+private const val EVENT_INTERVAL_MS = 40L
+
+/** A stream that is expected to last longer than a draining server serves. */
+private const val LONG_STREAM = "Length-Hint: 400\r\n"
+
+/** The stream has had some events by then. */
+private const val BEGUN_MS = 250L
+private const val SILENT_MS = 1_300L
+
+/** A successor has been started by then. */
+private const val SUCCESSOR_MS = 150L
+private const val REJECTING_MS = 300L
