Keep a stream that has begun until its deadline while no path takes it

Callers saw a stream closed at once when its server was lost while the retry budget was used up, although the budget allows a retry soon, and after the event patience of the route while no path was free.

Cause: both are states of the moment, and the stream has a later deadline. A caller that has had enough abandons the stream itself; closing it can only lose it. A stream that has not begun is still refused truthfully, and one with a content that ends servers is still closed at once: sending it again would end the next server.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/StreamAttempts.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/StreamAttempts.kt
@@ -16,7 +16,9 @@
     /** Attempts since the last event that no server has run. */
     private var unrun = 0
 
-    private var hasBegun = false
+    /** True once an event has been forwarded to the caller. */
+    var hasBegun = false
+        private set
 
     /** Number of attempts so far. */
     var count = 0
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
@@ -32,8 +32,8 @@
             ?: choose(nowMs, demand) { bound.allows(it) }
 
     /**
-     * The path for an attempt beside the one over [current], or null if there is none now. It begins
-     * at another server if possible.
+     * The path for an attempt beside the one over [current], or null if there is none now. It
+     * begins at another server if possible.
      */
     fun successor(current: ServingPath, nowMs: Long): ServingPath? {
         val nextBound = bound.ifInterruptedAt(current.first.address)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -52,14 +52,21 @@
      * @param maxLagMs Time by which a successor may be behind the current attempt.
      */
     fun answered(attempt: StreamAttempt, maxLagMs: Long): StreamAttempt? {
-        val next = successor ?: return null
-        val replaced = current ?: return null
-        if (attempt !== next) return next.takeIf { reason?.isSettledByEvent() == true }
-        // The caller would wait until the successor has made the events that it has already.
-        if (replaced.lastActivityAtMs - next.startedAtMs > maxLagMs) return next
-        current = next
+        val working = current
+        val next = successor
+        return when {
+            working == null || next == null -> null
+            attempt === working -> next.takeIf { reason?.isSettledByEvent() == true }
+            // The caller would wait until the successor has made the events that it has already.
+            working.lastActivityAtMs - next.startedAtMs > maxLagMs -> next
+            else -> working.also { swap() }
+        }
+    }
+
+    private fun swap() {
+        val replaced = current
+        current = successor
         successor = replaced
-        return replaced
     }
 
     /**
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -98,7 +98,7 @@
             harmful != null -> giveUp(HARMFUL_CONTENT, harmful.untilMs - nowMs)
             path == null -> waitForPath("no path")
             attempts.count == 0 || context.retryBudget.tryRetry(nowMs) -> begin(path, cause, nowMs)
-            attempts.awaitsResumption -> waitForPath(NO_BUDGET)
+            attempts.hasBegun -> waitForPath(NO_BUDGET)
             else -> giveUp(NO_BUDGET)
         }
     }
@@ -116,12 +116,12 @@
             else -> PathDemand.RETRY
         }
 
+    /** A stream that has begun waits until its deadline, or until its caller abandons it. */
     private fun waitForPath(obstacle: String) {
-        val nowMs = context.clockMs()
-        val sinceLastEventMs = nowMs - (response.lastEventAtMs ?: request.startedAtMs)
+        val waitedMs = context.clockMs() - request.startedAtMs
         val isFirst = attempts.count == 0
         val limitMs = with(request.route) { if (isFirst) targetLatencyMs / 2 else eventPatienceMs }
-        if (sinceLastEventMs > limitMs) {
+        if (!attempts.hasBegun && waitedMs > limitMs) {
             giveUp(obstacle)
         } else {
             retryLater(PATH_WAIT_MS, "path awaited")
--- a/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
@@ -8,7 +8,7 @@
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
 
-/** Streams that could go on at their server, but are given up for another one that does not answer. */
+/** Streams that could go on, but are given up before another server has answered. */
 class StreamGivenUpSpec :
     DescribeSpec({
         fun ids(answer: String) =
@@ -30,6 +30,9 @@
             }
         }
 
+        fun shortFixture(budget: RetryBudgetSettings = RetryBudgetSettings()) =
+            RouterFixture(SHORT_EVENTS, EVENT_INTERVAL_MS, retryBudget = budget)
+
         fun RouterFixture.drain(server: EngineStandIn) =
             store.write("servers/${server.instanceId}", server.entry("model", state = "draining"))
 
@@ -83,11 +86,27 @@
                     shouldBeWhole(answer)
                 }
             }
+
+            // Guards against a stream that is cut although the budget allows a retry soon.
+            it("is not cut while the retry budget is used up for a moment") {
+                val budget = RetryBudgetSettings(windowS = 1.0, ratio = 0.0, extra = 1.5)
+                shortFixture(budget).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        val others = fixture.others(first)
+                        others.forEach { it.script = Script.Cut(2) }
+                        first.stop()
+                        await { others.any { it.runs.isNotEmpty() } }
+                        Thread.sleep(REJECTING_MS)
+                        others.forEach { it.script = Script.Serve }
+                    }
+                    shouldBeWhole(answer, SHORT_EVENTS)
+                }
+            }
         }
 
         describe("a stream whose server is silent for a second and goes on") {
             it("is not cut when its successor is silent too") {
-                RouterFixture(SHORT_EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                shortFixture().use { fixture ->
                     val answer = fixture.streamWhile { first ->
                         first.fallSilent(SILENT_MS)
                         Thread.sleep(SUCCESSOR_MS)
