Check whole answers of streams in one place, and describe moves

The specs of streams each had the same check of ids and end; it is now StreamAnswers beside the stand-ins, as strict as before.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/MoveReason.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/MoveReason.kt
@@ -2,23 +2,14 @@
 
 /** Why a streamed request should continue over another path although its attempt has not ended. */
 sealed interface MoveReason {
-    /** Name in logs and metrics. */
-    val label: String
-
     /** A server of the path is draining and will end. */
-    data object ServerLeaves : MoveReason {
-        override val label = "server leaves"
-    }
+    data object ServerLeaves : MoveReason
 
     /** A server of the path does not answer. It may be dead, or silent for a moment. */
-    data object ServerSilent : MoveReason {
-        override val label = "server silent"
-    }
+    data object ServerSilent : MoveReason
 
     /** The path has not delivered its first event in time. */
-    data object SlowToBegin : MoveReason {
-        override val label = "slow to begin"
-    }
+    data object SlowToBegin : MoveReason
 }
 
 /**
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamLog.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router.relay
 
 import org.jacinthlink.decision.paths.ServingPath
+import org.jacinthlink.decision.retry.MoveReason
 
 /** Writes the log lines and the metrics of one streamed request. */
 internal class StreamLog(private val context: RelayContext, private val request: RelayRequest) {
@@ -83,3 +84,11 @@
         )
     }
 }
+
+/** Name of a reason in logs and metrics. */
+internal val MoveReason.label: String
+    get() = when (this) {
+        MoveReason.ServerLeaves -> "server leaves"
+        MoveReason.ServerSilent -> "server silent"
+        MoveReason.SlowToBegin -> "slow to begin"
+    }
--- a/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RouterSpec.kt
@@ -15,14 +15,12 @@
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.eventIds
 import org.jacinthlink.router.standins.freePort
 import org.jacinthlink.transport.valueOf
 
 class RouterSpec :
     DescribeSpec({
-        fun ids(answer: String) =
-            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
-
         describe("a router with engines that start without layers") {
             val fixture = RouterFixture()
             afterSpec { fixture.close() }
@@ -41,7 +39,7 @@
                 val answer = fixture.call("/s/x", "id-1")
                 answer shouldStartWith "HTTP/1.1 200"
                 answer shouldContain "Response-Seal: seal-"
-                ids(answer) shouldBe listOf(1, 2, 3, 4, 5)
+                eventIds(answer) shouldBe listOf(1, 2, 3, 4, 5)
             }
 
             // Guards against workspaces that callers can forge, and against API keys that leak.
@@ -86,7 +84,7 @@
                     val firsts = fixture.engines.filter { it.layers?.from == 0 }
                     firsts.first().script = Script.Cut(2)
                     val answers = (1..4).map { fixture.call("/s/x", "cut-$it") }
-                    answers.forEach { ids(it) shouldBe listOf(1, 2, 3, 4, 5) }
+                    answers.forEach { eventIds(it) shouldBe listOf(1, 2, 3, 4, 5) }
                     answers.forEach { it shouldEndWith "0\r\n\r\n" }
                 }
             }
@@ -103,8 +101,8 @@
                     answers.forEach {
                         it shouldNotContain FAILURE
                         it shouldNotContain "HTTP/1.1 500"
-                        ids(it) shouldBe listOf(1, 2, 3, 4, 5).take(ids(it).size)
-                        it.endsWith("0\r\n\r\n") shouldBe (ids(it).size == 5)
+                        eventIds(it) shouldBe listOf(1, 2, 3, 4, 5).take(eventIds(it).size)
+                        it.endsWith("0\r\n\r\n") shouldBe (eventIds(it).size == 5)
                     }
                 }
             }
@@ -127,7 +125,7 @@
                     await { fixture.engines.sumOf { it.rejectedCount.get() } == 5 }
                     fixture.engines.forEach { it.script = Script.Cut(2) }
                     val answer = open.getInputStream().readAllBytes().decodeToString()
-                    ids(answer) shouldBe listOf(1, 2, 3, 4, 5)
+                    eventIds(answer) shouldBe listOf(1, 2, 3, 4, 5)
                     answer shouldEndWith "0\r\n\r\n"
                 }
             }
@@ -143,7 +141,7 @@
                     first.stop()
                     val answers =
                         open.map { it.getInputStream().readAllBytes().decodeToString() }
-                    answers.forEach { ids(it) shouldBe (1..40).toList() }
+                    answers.forEach { eventIds(it) shouldBe (1..40).toList() }
                 }
             }
 
@@ -274,7 +272,7 @@
                     late shouldStartWith "HTTP/1.1 503"
                     late shouldContain "Retry-After: "
                     val older = open.getInputStream().readAllBytes().decodeToString()
-                    ids(older) shouldBe (1..120).toList()
+                    eventIds(older) shouldBe (1..120).toList()
                     older shouldEndWith "0\r\n\r\n"
                     ending.join()
                 }
--- a/router/src/test/kotlin/org/jacinthlink/router/SilentServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/SilentServerSpec.kt
@@ -1,20 +1,16 @@
 package org.jacinthlink.router
 
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.shouldBe
-import io.kotest.matchers.string.shouldEndWith
 import org.jacinthlink.router.standins.EngineStandIn
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
 import org.jacinthlink.router.standins.configuration
+import org.jacinthlink.router.standins.shouldBeWhole
 
 /** Sound servers that answer nothing for a while, beside a change of the configuration. */
 class SilentServerSpec :
     DescribeSpec({
-        fun ids(answer: String) =
-            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
-
         /** Makes the server of a stream silent under way, and returns the whole response. */
         fun streamOver(fixture: RouterFixture, disturb: (EngineStandIn) -> Unit): String =
             fixture.open("/s/x", "stream").use { socket ->
@@ -27,11 +23,6 @@
                 socket.getInputStream().readAllBytes().decodeToString()
             }
 
-        fun shouldBeWhole(answer: String) {
-            ids(answer) shouldBe (1..EVENTS).toList()
-            answer shouldEndWith "0\r\n\r\n"
-        }
-
         fun fixture(retryBudget: RetryBudgetSettings = RetryBudgetSettings()) =
             RouterFixture(EVENTS, EVENT_INTERVAL_MS, retryBudget = retryBudget)
                 .also { it.awaitPaths() }
@@ -40,7 +31,7 @@
             // Guards against streams that are cut because there are no retries left.
             it("is not cut when the retry budget is used up") {
                 fixture(RetryBudgetSettings(ratio = 0.0, extra = 0.0)).use { fixture ->
-                    shouldBeWhole(streamOver(fixture) {})
+                    shouldBeWhole(streamOver(fixture) {}, EVENTS)
                 }
             }
 
@@ -52,7 +43,7 @@
                             it.script = Script.Rejecting
                         }
                     }
-                    shouldBeWhole(answer)
+                    shouldBeWhole(answer, EVENTS)
                 }
             }
         }
--- a/router/src/test/kotlin/org/jacinthlink/router/SingleRunStreamSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/SingleRunStreamSpec.kt
@@ -2,19 +2,15 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
-import io.kotest.matchers.shouldBe
-import io.kotest.matchers.string.shouldEndWith
 import org.jacinthlink.router.standins.EngineStandIn
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.shouldBeWhole
 import org.jacinthlink.transport.valueOf
 
 /** Streams that may not be resumed, and so have no other path than that of their only run. */
 class SingleRunStreamSpec :
     DescribeSpec({
-        fun ids(answer: String) =
-            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
-
         /** Starts a stream, runs [disturb] with its engine, and returns the whole response. */
         fun stream(fixture: RouterFixture, disturb: (EngineStandIn) -> Unit): String {
             fixture.awaitPaths()
@@ -26,8 +22,7 @@
         }
 
         fun RouterFixture.shouldHaveServed(answer: String, events: Int) {
-            ids(answer) shouldBe (1..events).toList()
-            answer shouldEndWith "0\r\n\r\n"
+            shouldBeWhole(answer, events)
             engines.flatMap { it.runs }
                 .filter { it.request.headers.valueOf("Attempt-Id") == "single" } shouldHaveSize 1
         }
--- a/router/src/test/kotlin/org/jacinthlink/router/SlowStreamSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/SlowStreamSpec.kt
@@ -8,19 +8,17 @@
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.eventIds
 
 class SlowStreamSpec :
     DescribeSpec({
-        fun ids(answer: String) =
-            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
-
         describe("a stream whose engine works, but slowly") {
             // Guards against slow streams that are cut although their engines work.
             it("is not cut, and is run once") {
                 RouterFixture(eventCount = 5, eventIntervalMs = 350).use { fixture ->
                     fixture.awaitPaths()
                     val answer = fixture.call("/s/x", "slow")
-                    ids(answer) shouldBe listOf(1, 2, 3, 4, 5)
+                    eventIds(answer) shouldBe listOf(1, 2, 3, 4, 5)
                     answer shouldEndWith "0\r\n\r\n"
                     // A second run is allowed while the first event is late.
                     fixture.engines.sumOf { it.runs.size } shouldBeInRange 1..2
--- a/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
@@ -2,23 +2,15 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
-import io.kotest.matchers.string.shouldEndWith
 import org.jacinthlink.router.standins.EngineStandIn
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.shouldBeWhole
 
 /** Streams that could go on, but are given up before another server has answered. */
 class StreamGivenUpSpec :
     DescribeSpec({
-        fun ids(answer: String) =
-            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
-
-        fun shouldBeWhole(answer: String, events: Int = EVENTS) {
-            ids(answer) shouldBe (1..events).toList()
-            answer shouldEndWith "0\r\n\r\n"
-        }
-
         /** Runs [disturb] with the server of a stream under way, and returns the whole response. */
         fun RouterFixture.streamWhile(disturb: (first: EngineStandIn) -> Unit): String {
             awaitPaths()
@@ -45,7 +37,7 @@
                         fixture.others(first).forEach { it.script = Script.Rejecting }
                         fixture.drain(first)
                     }
-                    shouldBeWhole(answer)
+                    shouldBeWhole(answer, EVENTS)
                 }
             }
 
@@ -55,7 +47,7 @@
                         fixture.others(first).forEach { it.fallSilent(SILENT_MS) }
                         fixture.drain(first)
                     }
-                    shouldBeWhole(answer)
+                    shouldBeWhole(answer, EVENTS)
                 }
             }
 
@@ -67,7 +59,7 @@
                         from = first
                         fixture.drain(first)
                     }
-                    shouldBeWhole(answer)
+                    shouldBeWhole(answer, EVENTS)
                     fixture.engines.sumOf { it.runs.size } shouldBe 2
                     from?.cancelledCount?.get() shouldBe 1
                 }
@@ -83,7 +75,7 @@
                         Thread.sleep(REJECTING_MS)
                         fixture.others(first).forEach { it.script = Script.Serve }
                     }
-                    shouldBeWhole(answer)
+                    shouldBeWhole(answer, EVENTS)
                 }
             }
 
