Give each request that was read an outcome, whoever drops it

Cause: a request is held by the early requests, an admission queue or a relay, each with an end of its own, and nothing noticed one that its holder had dropped. A handler that ended with an Error closed the connection without an answer, because only exceptions were caught. A request without a configuration was dropped by RequestRouter.route.

Now RequestGuard watches every request from its reading until its exchange has ended. Each case writes the event `unanswered` and counts in jacinthlink.unanswered; jacinthlink.requests.oldest.ms is the age of the oldest request without an outcome.

Evidence: RequestGuardSpec drops requests in the handler, in the early requests, after the response has begun, with an Error, and in a whole router a queued stream whose queue is emptied and a stream that has begun, both without their timers. Before the handler caught errors, the case with an Error failed with an empty answer. The guard itself is new, so its cases had nothing to fail on; a stream relay without its timer went on sending after its deadline until its holder was told. That one of these places drops requests in ordinary work is not shown.

--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -32,11 +32,13 @@
     private val loadBalancer = PlainLoadBalancer()
     private val shares = ServiceShares()
     private val early = EarlyRequests(context.loop, ::refuseEarly)
+    private val guard = RequestGuard(context.loop, context.log, context.metrics, context.clockMs)
 
     private var isClosed = false
 
     override fun handle(request: ServerRequest, exchange: ServerExchange) {
         val info = requestInfo(request)
+        guard.read(info, exchange, context.clockMs())
         when {
             isClosed -> refuse(info, exchange, UNAVAILABLE, "stopping", null, STOPPING_RETRY_MS)
             !isServing() -> early.hold(request, exchange)
@@ -44,6 +46,9 @@
         }
     }
 
+    /** Age of the oldest request without an outcome; 0 if there is none. */
+    val oldestAgeMs: Long get() = guard.oldestAgeMs
+
     /** Rejects further requests; requests in progress continue. */
     fun close() {
         isClosed = true
@@ -60,7 +65,7 @@
     }
 
     private fun route(request: ServerRequest, info: RequestInfo, exchange: ServerExchange) {
-        val current = configuration.current ?: return
+        val current = configuration.current ?: return refuseEarly(request, exchange)
         val route = configuration.routes.find(info.host, request.path)
             ?: return refuse(info, exchange, NOT_FOUND, "no route", current.version)
         val needsKey = current.usesKeys && !route.isAnonymous
@@ -104,6 +109,7 @@
                 nowMs + limitMs,
                 current.version
             )
+        guard.routed(incoming.exchange, route.name, relayRequest.endsAtMs)
         if (service.engine != null) {
             StreamRelay(context, streams, relayRequest).start()
         } else {
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -192,6 +192,7 @@
         with(metrics) {
             gauge("jacinthlink.streams") { streams.size }
             gauge("jacinthlink.streams.waiting") { admission.waitingCount }
+            gauge("jacinthlink.requests.oldest.ms") { requests.oldestAgeMs }
             gauge("jacinthlink.peers") { peers.alive.size }
             gauge("jacinthlink.store.age.ms") { watches.ageMs(clockMs()) ?: -1 }
             gauge("jacinthlink.store.calls") { store.callCount }
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -42,6 +42,9 @@
     /** Counts a request whose server was lost before it had begun to answer. */
     fun lostBeforeBegun() = update { it.lostBeforeBegun() }
 
+    /** Counts a request that its holder has not answered by its deadline. */
+    fun unanswered() = update { it.unanswered() }
+
     /** Counts a connection that was closed because of bytes that belong to no request. */
     fun surplusReceived() = update { it.surplusReceived() }
 
@@ -107,6 +110,8 @@
 
         fun lostBeforeBegun() = registry.counter("jacinthlink.lost.before.begun").increment()
 
+        fun unanswered() = registry.counter("jacinthlink.unanswered").increment()
+
         fun surplusReceived() = registry.counter("jacinthlink.surplus").increment()
 
         fun gauge(name: String, value: () -> Number) {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
@@ -76,8 +76,16 @@
         onFinished(false)
     }
 
-    override fun fail(status: Int) {
-        if (hasStarted) abort() else respond(status, emptyList(), ByteArray(0))
+    override fun fail(status: Int) = fail(status, emptyList())
+
+    override fun withdraw(status: Int, headers: List<HeaderField>) {
+        if (!isOpen) return
+        fail(status, headers)
+        closedListener?.invoke()
+    }
+
+    private fun fail(status: Int, headers: List<HeaderField>) {
+        if (hasStarted) abort() else respond(status, headers, ByteArray(0))
     }
 
     /** Notifies the listener that the client has closed the connection. */
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
@@ -48,6 +48,12 @@
 
     /** Answers with [status], or cuts the response if it has started. */
     fun fail(status: Int)
+
+    /**
+     * Answers with [status] and [headers], or cuts the response if it has started. Then notifies
+     * the listener of [onClientClosed], because whoever holds the request can no longer answer it.
+     */
+    fun withdraw(status: Int, headers: List<HeaderField>)
 }
 
 /** Receives the requests of a server. */
@@ -62,7 +68,8 @@
     fun handleGuarded(request: ServerRequest, exchange: ServerExchange) {
         try {
             handle(request, exchange)
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // Netty would close the connection without an answer.
             reportFailure("handler of ${request.method} ${request.path}", e)
             exchange.fail(INTERNAL_ERROR)
         }
