End a router whose event loop has ended or run out of memory

The transport now tells the owner of the loop (LoopOwner) when the loop has ended or an Error has reached a guard, a handler, exceptionCaught or a warning of Netty. With the heap full nothing can be allocated, not even in a handler of uncaught errors.

A stack that was used up stays a fault of the one action, like an exception (a new process would meet it again), as EventLoopSpec already asks. RouterShutdown no longer waits for ever for a loop that has ended.

--- a/router/src/main/kotlin/org/jacinthlink/router/Main.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Main.kt
@@ -40,7 +40,10 @@
 }
 
 private fun run(settings: RouterSettings, file: Path) {
-    val router = router(settings)
+    val end = FailureEnd(Runtime.getRuntime()::halt)
+    end.watchThreads()
+    val router = router(settings, end)
+    end.watch { router.isWorking }
     Runtime.getRuntime().addShutdownHook(Thread({ router.drain() }, "drain"))
     router.start()
     router.watchSettings(file)
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -35,9 +35,9 @@
 import org.jacinthlink.transport.parseAddress
 
 /** A router, all of whose components run on one event loop. */
-class Router internal constructor(private var settings: RouterSettings) {
+class Router internal constructor(private var settings: RouterSettings, failure: FailureEnd?) {
     private val log = decisionLog(settings.instance)
-    private val loop: EventLoop = eventLoop("router")
+    private val loop: EventLoop = eventLoop("router", RouterLoopOwner(failure, log))
     private val clockMs: () -> Long = { System.nanoTime() / NANOS_PER_MS }
     private val metrics = RouterMetrics()
     private val http = httpClient(loop) { server, byteCount ->
@@ -222,6 +222,9 @@
         SettingsWatcher(file, loop, log) { settings = it }.start()
     }
 
+    /** False once the event loop has ended. */
+    val isWorking: Boolean get() = loop.isRunning
+
     /** Closes all sockets immediately. */
     fun stop() {
         loop.stop()
@@ -287,5 +290,10 @@
 internal fun checkedAddress(text: String): Address =
     checkNotNull(parseAddress(text)) { "not IP:PORT: $text" }
 
-/** Creates a router with [settings]; it does nothing before [Router.start]. */
-fun router(settings: RouterSettings): Router = Router(settings)
+/**
+ * Creates a router with [settings]; it does nothing before [Router.start].
+ *
+ * @param failure Ends the process when the router can't go on; null leaves the process alone.
+ */
+internal fun router(settings: RouterSettings, failure: FailureEnd? = null): Router =
+    Router(settings, failure)
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
@@ -1,6 +1,7 @@
 package org.jacinthlink.router
 
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import org.jacinthlink.decision.admission.shutdownSchedule
 import org.jacinthlink.transport.EventLoop
 
@@ -40,15 +41,23 @@
             listeners.closeIdle()
             log.event("closed", "requests" to listeners.activeRequestCount)
         }
-        while (clockMs() < endsAtMs && activeRequests() > 0) Thread.sleep(POLL_MS)
-        log.event("stopped", "requests" to activeRequests())
+        var count = activeRequests(endsAtMs)
+        while (clockMs() < endsAtMs && count != 0) {
+            Thread.sleep(POLL_MS)
+            count = activeRequests(endsAtMs)
+        }
+        log.event("stopped", "requests" to count)
     }
 
-    /** Counts the open requests on the event loop, which owns the connections. */
-    private fun activeRequests(): Int {
-        val count = CompletableFuture<Int>()
+    /**
+     * Counts the open requests on the event loop, which owns the connections. The result is null if
+     * the loop doesn't say until [endsAtMs].
+     */
+    private fun activeRequests(endsAtMs: Long): Int? {
+        val count = CompletableFuture<Int?>()
         loop.execute { count.complete(listeners.activeRequestCount) }
-        return count.get()
+        val leftMs = (endsAtMs - clockMs()).coerceAtLeast(POLL_MS)
+        return count.completeOnTimeout(null, leftMs, TimeUnit.MILLISECONDS).get()
     }
 
     private companion object {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
@@ -48,9 +48,11 @@
                 onDatagram(bytes)
             }
 
-            /** Ignores errors, for example that no socket is open on the port of a stopped peer. */
+            /** Ignores for example that no socket is open on the port of a stopped peer. */
             @Deprecated("deprecated in Netty")
-            override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = Unit
+            override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+                if (cause is Error) reportFailure("datagram", cause)
+            }
         }
     val channel =
         Bootstrap()
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ErrorLoggerFactory.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ErrorLoggerFactory.kt
@@ -25,7 +25,10 @@
     override fun error(format: String, vararg arguments: Any?) =
         write("$format: ${arguments.joinToString()}")
 
-    override fun error(message: String?, cause: Throwable?) = write("$message: $cause")
+    override fun error(message: String?, cause: Throwable?) {
+        if (cause is Error) return reportFailure(message.orEmpty(), cause)
+        write("$message: $cause")
+    }
 
     private fun write(text: String) = System.err.println("${name()}: $text")
 
@@ -71,11 +74,14 @@
 
     override fun warn(format: String, argument: Any?) = Unit
 
-    override fun warn(format: String, first: Any?, second: Any?) = Unit
+    /** Netty passes the cause as the last argument of some warnings. */
+    override fun warn(format: String, first: Any?, second: Any?) {
+        if (second is Error) reportFailure(format, second)
+    }
 
     override fun warn(format: String, vararg arguments: Any?) = Unit
 
     override fun warn(message: String?, cause: Throwable?) {
-        if (cause is Error) write("$message: ${cause.stackTraceToString()}")
+        if (cause is Error) reportFailure(message.orEmpty(), cause)
     }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -10,18 +10,38 @@
  *
  * All callbacks run on this thread, so its users need no locks.
  */
-class EventLoop internal constructor(internal val group: NioEventLoopGroup) {
+class EventLoop internal constructor(
+    internal val group: NioEventLoopGroup,
+    private val owner: LoopOwner
+) {
     private val loop = group.next()
 
     @Volatile
     private var isStopping = false
 
+    @Volatile
+    private var thread: Thread? = null
+
+    /** False once the thread has ended, for whatever reason. */
+    val isRunning: Boolean get() = thread?.isAlive ?: true
+
     init {
+        loop.execute {
+            thread = Thread.currentThread()
+            loopOfThread.set(this)
+        }
         loop.terminationFuture().addListener {
-            if (!isStopping) System.err.println("event loop: ended, and its connections with it")
+            if (!isStopping) {
+                owner.onBroken()
+                owner.onCause("ended, and its connections with it")
+            }
         }
     }
 
+    internal fun onBroken() = owner.onBroken()
+
+    internal fun onCause(cause: String) = owner.onCause(cause)
+
     /** Runs [action] on the loop as soon as possible. */
     fun execute(action: () -> Unit) {
         loop.execute { runGuarded("task", action) }
@@ -74,9 +94,57 @@
     }
 }
 
-/** Reports on standard error that code of the kind [what] has failed on the event loop. */
+/**
+ * Reports that code of the kind [what] has failed on the event loop, on standard error or, if the
+ * loop is broken by it, to the loop's owner.
+ *
+ * An error such as one for want of memory may have left any object half changed, so the loop counts
+ * as broken. A stack that was used up is a fault of the one action, like an exception: a new
+ * process would meet it again.
+ */
 internal fun reportFailure(what: String, cause: Throwable) {
-    System.err.println("event loop: $what failed: ${cause.stackTraceToString()}")
+    val loop = if (breaksLoop(cause)) loopOfThread.get() else null
+    // Nothing may be allocated before the owner knows.
+    loop?.onBroken()
+    val report = "$what failed: ${cause.stackTraceToString()}"
+    if (loop != null) loop.onCause(report) else System.err.println("event loop: $report")
+}
+
+/** True for an error, or for an exception that was caused by one, as those of Netty's codecs. */
+private fun breaksLoop(cause: Throwable): Boolean {
+    var current: Throwable? = cause
+    var depth = 0
+    while (current != null && depth++ < MAX_CAUSES) {
+        if (current is Error && current !is StackOverflowError) return true
+        current = current.cause
+    }
+    return false
+}
+
+/** The event loop that runs on the present thread, for code of Netty that has no other access. */
+private val loopOfThread = ThreadLocal<EventLoop>()
+
+/** A chain of causes may lead back to its beginning. */
+private const val MAX_CAUSES = 8
+
+/**
+ * Learns that a loop is broken: it has ended without [EventLoop.stop], or an error has left its
+ * work undone. A process whose work depends on the loop should then end.
+ *
+ * The functions may be called on any thread, and more than once.
+ */
+interface LoopOwner {
+    /** The loop is broken. Must allocate nothing, as there may be no memory left. */
+    fun onBroken()
+
+    /** Called after [onBroken] with the cause, if there is memory for it. */
+    fun onCause(cause: String)
+}
+
+private object ErrorOutput : LoopOwner {
+    override fun onBroken() = Unit
+
+    override fun onCause(cause: String) = System.err.println("event loop: $cause")
 }
 
 /** A scheduled action. */
@@ -85,9 +153,13 @@
     fun cancel()
 }
 
-/** Creates an event loop whose thread name begins with [name]. */
-fun eventLoop(name: String): EventLoop {
+/**
+ * Creates an event loop whose thread name begins with [name].
+ *
+ * @param owner Learns that the loop is broken. By default, standard error gets the cause.
+ */
+fun eventLoop(name: String, owner: LoopOwner = ErrorOutput): EventLoop {
     // Netty would otherwise initialize the process's logging library before it opens a socket.
     InternalLoggerFactory.setDefaultFactory(ErrorLoggerFactory)
-    return EventLoop(NioEventLoopGroup(1, DefaultThreadFactory(name, true)))
+    return EventLoop(NioEventLoopGroup(1, DefaultThreadFactory(name, true)), owner)
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
@@ -62,7 +62,7 @@
     fun handleGuarded(request: ServerRequest, exchange: ServerExchange) {
         try {
             handle(request, exchange)
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             reportFailure("handler of ${request.method} ${request.path}", e)
             exchange.fail(INTERNAL_ERROR)
         }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/EventLoopSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/EventLoopSpec.kt
@@ -9,6 +9,7 @@
 import java.nio.channels.Pipe
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SelectionKey
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
 class EventLoopSpec :
@@ -60,6 +61,40 @@
                 }
             }
 
+            // Guards against a process that lives on and answers nobody.
+            it("says that it is broken when it has ended") {
+                val causes = CopyOnWriteArrayList<String>()
+                val ending = eventLoop("ending", Causes(causes))
+                ending.endWith(OutOfMemoryError("end of the loop"))
+                await { causes.any { "ended" in it } }
+                check(causes.any { "end of the loop" in it }) { causes }
+            }
+
+            // Guards against a loop that goes on with half of its work for want of memory.
+            it("says that it is broken when a task or a handler has run out of memory") {
+                val causes = CopyOnWriteArrayList<String>()
+                val broken = eventLoop("broken", Causes(causes))
+                broken.execute { throw OutOfMemoryError("in a task") }
+                await { causes.any { "in a task" in it } }
+                val handler = ServerHandler { _, _ -> throw OutOfMemoryError("in a handler") }
+                val address = freeAddress().also { listen(broken, it, { WIDE_LIMITS }, handler) }
+                address.connectAndSend("GET / HTTP/1.1\r\nHost: h\r\n\r\n").use {
+                    await { causes.any { "in a handler" in it } }
+                }
+                broken.stop()
+            }
+
+            it("is not broken by an exception or by a stack that was used up") {
+                val causes = CopyOnWriteArrayList<String>()
+                val whole = eventLoop("whole", Causes(causes))
+                whole.execute { error("in a task") }
+                whole.execute { throw StackOverflowError("in a task") }
+                whole.call { }
+                whole.stop()
+                await { whole.group.isTerminated }
+                check(causes.isEmpty()) { causes }
+            }
+
             it("reports nothing when it is stopped") {
                 withErrors { errors ->
                     val stopped = eventLoop("stopped")
@@ -72,6 +107,15 @@
         }
     })
 
+/** Keeps the causes in [causes]. */
+private class Causes(private val causes: MutableList<String>) : LoopOwner {
+    override fun onBroken() = Unit
+
+    override fun onCause(cause: String) {
+        causes.add(cause)
+    }
+}
+
 /** Lets the code that handles sockets fail with [error]. */
 private fun EventLoop.endWith(error: Error) {
     val pipe = Pipe.open()
