Keep a silent head's attempt until another head has delivered

Callers of the product's own interface saw a stream end although its head worked: the head was silent for some seconds, and the others refused the stream, broke it or were silent too, or the retry budget was used up.

Cause: ChatRelay.tick took a silence of 1.2 s for the loss of the attempt, cancelled it and only then looked for a head.

Now one rule holds: the attempt goes on until another one has delivered a token or the end; the first to deliver stays, the other is cancelled. A successor that is refused or lost costs the caller nothing, one that is silent too is kept as long as there is no third head, and a used-up budget only postpones the try. The deadline is that of a stream without a head: 10 s after its latest token, or the target of a request that no head accepted. A connection counts as lost, and is replaced at the same head, once the head has been reporting on others for 5 s. Handover, silence, progress and permits of a request have files of their own.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
@@ -11,10 +11,15 @@
 import org.jacinthlink.runtime.http.PeerResult
 import org.jacinthlink.runtime.http.StreamCall
 
-/** One attempt at one head. Turns the lines of its answer into events for [listener]. */
+/**
+ * One attempt at one head. Turns the lines of its answer into events for [listener].
+ *
+ * @property isolated True if no other request runs on the same backend server meanwhile.
+ */
 internal class ChatAttempt(
     val number: Int,
     val head: FlowStage,
+    val isolated: Boolean,
     private val nowMs: () -> Long,
     private val listener: Listener
 ) : LineListener {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatParts.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatParts.kt
@@ -24,8 +24,7 @@
         attempt: ChatAttempt,
         job: ChatJob,
         emittedTokens: List<String>,
-        remainingMs: Long,
-        isolated: Boolean
+        remainingMs: Long
     ): StreamCall {
         val open =
             StreamOpen(
@@ -38,7 +37,7 @@
                 job.chat.maxTokens,
                 remainingMs,
                 job.chat.fingerprint,
-                isolated
+                attempt.isolated
             )
         val body = ProtocolJson.encodeToString(StreamOpen.serializer(), open)
         val call = PeerCall("POST", "http://${attempt.head.address}/v1/streams", body)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRecorder.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRecorder.kt
@@ -9,7 +9,7 @@
     private val className: String get() = job.caller.workClass.name
 
     /** Records that [attempt] is about to be sent; the caller has [tokenCount] tokens already. */
-    fun headChosen(attempt: ChatAttempt, isIsolated: Boolean, tokenCount: Int) {
+    fun headChosen(attempt: ChatAttempt, tokenCount: Int) {
         if (attempt.number > 0) context.metrics.retried()
         val head = attempt.head
         record(
@@ -17,7 +17,7 @@
             "head" to head.instance.value,
             "zone" to head.availabilityZone,
             "attempt" to attempt.number,
-            "isolated" to isIsolated
+            "isolated" to attempt.isolated
         )
         if (tokenCount > 0) {
             record("stream_resumed", "head" to head.instance.value, "from_token" to tokenCount)
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRelay.kt
@@ -4,11 +4,12 @@
 import org.jacinthlink.api.StreamEvent
 import org.jacinthlink.decision.dispatch.AttemptOutcome
 import org.jacinthlink.decision.quarantine.RunMode
+import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.entry.EntryContext
 
 /**
  * Relays one chat request to heads until its answer is complete, resuming it on another head when
- * one fails. All state is guarded by the monitor of the relay.
+ * one fails, or beside one that falls silent. All state is guarded by the monitor of the relay.
  */
 internal class ChatRelay(
     private val job: ChatJob,
@@ -21,18 +22,11 @@
     private val tokens = ArrayList<String>()
     private val ends = ArrayList<AttemptEnd>()
     private val search = HeadSearch(parts.heads, job.chat.model)
-    private var attempt: ChatAttempt? = null
+    private val handover = ChatHandover()
+    private val silence = SilenceWatch()
+    private val progress = ChatProgress(job)
+    private val permit = ChatPermit(job, parts)
     private var attemptCount = 0
-    private var wasAccepted = false
-    private var isolated = false
-    private var hasCrashed = false
-    private var permit: RunMode? = null
-    private var isAskingPermit = false
-    private var isWaitingForPermit = false
-    private var lastTokenAtMs = 0L
-
-    // Time of the first acceptance or of the latest token.
-    private var lastProgressAtMs = 0L
     private var done = false
 
     @Synchronized
@@ -41,27 +35,68 @@
         dispatch()
     }
 
-    /** Abandons an attempt that has fallen silent, and looks for a head if none was left. */
+    /** Looks for a head if none was left, or for another one beside a silent one. */
     @Synchronized
     fun tick(nowMs: Long) {
-        val current = attempt
-        when {
-            done -> Unit
-            current == null -> if (search.isWaiting || isWaitingForPermit) dispatch()
-            nowMs - current.lastLineAtMs > SILENCE_MS -> {
-                parts.heads.suspect(current.head)
-                onBroken(current, AttemptEnd(AttemptOutcome.UNKNOWN, "silent for $SILENCE_MS ms"))
+        if (done) return
+        val current = handover.current
+        if (current == null) {
+            if (search.isWaiting || permit.isWaiting) dispatch()
+            return
+        }
+        val reportedAtMs = parts.heads.loads[current.head.instance].reportedAtMs
+        when (val step = silence.decide(handover, reportedAtMs, nowMs)) {
+            SilenceStep.None -> Unit
+            is SilenceStep.TryAnother -> {
+                if (step.isNew) {
+                    parts.heads.suspect(current.head)
+                    parts.heads.failures.failed(current.head.instance, nowMs)
+                }
+                if (!tryAnother(nowMs)) endIfOver(nowMs)
             }
+            SilenceStep.ConnectionLost ->
+                when {
+                    tryAnother(nowMs) -> Unit
+                    parts.retries.withdraw(nowMs) -> broken(current, silent(current), isPaid = true)
+                    else -> endIfOver(nowMs)
+                }
         }
     }
 
+    private fun silent(attempt: ChatAttempt): AttemptEnd {
+        val silentMs = now() - attempt.lastLineAtMs
+        return AttemptEnd(AttemptOutcome.UNKNOWN, "silent for $silentMs ms")
+    }
+
+    // Opens an attempt beside the silent ones, in place of an earlier successor. Returns false if
+    // none may be opened now.
+    private fun tryAnother(nowMs: Long): Boolean {
+        val isolated =
+            permit.isIsolated(nowMs)?.takeIf { attemptCount < RetryRules.MAX_ATTEMPTS }
+                ?: return false
+        val head =
+            search.nextBeside(handover.heads, nowMs)?.takeIf { parts.retries.withdraw(nowMs) }
+                ?: return false
+        handover.successor?.let { onBroken(it, silent(it)) }
+        if (!done) open(head, isolated)
+        return true
+    }
+
+    private fun endIfOver(nowMs: Long) {
+        val silentSinceMs = handover.attempts.maxOf { it.lastLineAtMs }
+        if (!progress.isOver(silentSinceMs, nowMs)) return
+        handover.attempts.forEach { ends += silent(it) }
+        fail(if (progress.wasAccepted) failure() else tooLate())
+    }
+
+    private fun tooLate() = failure().tooLate(job.caller.workClass.targetMs)
+
     @Synchronized
     override fun onEvent(attempt: ChatAttempt, event: StreamEvent) {
-        if (done || attempt !== this.attempt) return
+        if (done || attempt !in handover) return
         when (event) {
             is StreamEvent.Accepted -> {
-                if (!wasAccepted) lastProgressAtMs = now()
-                wasAccepted = true
+                progress.accepted(now())
                 parts.heads.loads.reported(attempt.head.instance, event.load, now())
             }
             is StreamEvent.Heartbeat -> {
@@ -75,26 +110,41 @@
     }
 
     @Synchronized
-    override fun onBroken(attempt: ChatAttempt, end: AttemptEnd) {
-        if (done || attempt !== this.attempt) return
+    override fun onBroken(attempt: ChatAttempt, end: AttemptEnd) = broken(attempt, end)
+
+    private fun broken(attempt: ChatAttempt, end: AttemptEnd, isPaid: Boolean = false) {
+        if (done || attempt !in handover) return
         if (end.fate == AttemptOutcome.NOT_RUN && end.refusal == null) {
             context.membership.reportUnreachable(attempt.head.instance)
         }
         leave(attempt)
         attempt.call?.cancel()
         if (RetryRules.isFaultOfHead(end)) parts.heads.failures.failed(attempt.head.instance, now())
-        ends += end
         search.failed(attempt.head.instance, now())
         recorder.attemptFailed(attempt, end)
-        if (isRetried(end)) dispatch() else fail(failure())
+        // A refusal says nothing about the attempt that goes on.
+        if (handover.current == null || end.fate != AttemptOutcome.NOT_RUN) ends += end
+        when {
+            handover.current != null -> Unit
+            isRetried(end, isPaid) -> dispatch()
+            else -> fail(failure())
+        }
         if (end.fate != AttemptOutcome.NOT_RUN && end.refusal == null) cancel(attempt)
     }
 
     // A head cancels all attempts of a request, so a new one at the same head must not be hit.
     private fun cancel(attempt: ChatAttempt) {
-        if (this.attempt?.head?.instance != attempt.head.instance) {
-            parts.cancel(attempt, job.requestId)
-        }
+        if (attempt.head.instance !in handover.heads) parts.cancel(attempt, job.requestId)
+    }
+
+    private fun delivered(attempt: ChatAttempt) {
+        val needless = handover.delivered(attempt) ?: return
+        parts.heads.loads.finished(needless.head.instance)
+        val cause = "attempt ${attempt.number} delivered first"
+        val end = AttemptEnd(AttemptOutcome.UNKNOWN, cause)
+        ends += end
+        recorder.attemptFailed(needless, end)
+        cancel(needless)
     }
 
     private fun token(attempt: ChatAttempt, event: StreamEvent.Token) {
@@ -103,15 +153,15 @@
             val cause = "token ${event.index} came before token ${tokens.size}"
             return onBroken(attempt, AttemptEnd(AttemptOutcome.RAN, cause))
         }
+        delivered(attempt)
         val nowMs = now()
         if (tokens.isEmpty()) {
             parts.crashes.begun(job.chat, nowMs)
             recorder.firstToken(nowMs - job.receivedAtMs)
         } else {
-            recorder.nextToken(nowMs - lastTokenAtMs)
+            recorder.nextToken(nowMs - progress.lastTokenAtMs)
         }
-        lastTokenAtMs = nowMs
-        lastProgressAtMs = nowMs
+        progress.token(nowMs)
         tokens += event.text
         responder.token(event.text)
     }
@@ -121,9 +171,10 @@
             val cause = "the end states ${event.tokenCount} tokens, ${tokens.size} arrived"
             return onBroken(attempt, AttemptEnd(AttemptOutcome.RAN, cause))
         }
+        delivered(attempt)
         leave(attempt)
         parts.heads.failures.succeeded(attempt.head.instance)
-        if (isolated) parts.crashes.cleared(job.chat.fingerprint, now())
+        if (attempt.isolated) parts.crashes.cleared(job.chat.fingerprint, now())
         parts.permits.answered(job.chat.fingerprint)
         responder.end(event.reason, tokens.size)
         finish(null)
@@ -137,18 +188,8 @@
         if (!event.backendServerCrashed) {
             return onBroken(attempt, AttemptEnd(fate, event.message, event))
         }
-        val suspectParts = if (tokens.isEmpty()) job.chat.parts else emptyList()
-        val crash =
-            SeenCrash(
-                job.chat.fingerprint,
-                isolated,
-                crashId(attempt, event),
-                parts = suspectParts
-            )
-        hasCrashed = true
-        permit = null
-        parts.crashes.crashed(crash, now())
-        if (parts.crashes.mode(job.chat, now()) == RunMode.REFUSED) {
+        permit.crashed(attempt, event, tokens.isNotEmpty(), now())
+        if (permit.mode(now()) == RunMode.REFUSED) {
             ends += AttemptEnd(fate, event.message, event)
             leave(attempt)
             quarantine()
@@ -157,10 +198,6 @@
         }
     }
 
-    // Sidecars of earlier versions send no id.
-    private fun crashId(attempt: ChatAttempt, event: StreamEvent.Refused) =
-        event.crashId.ifEmpty { "${job.requestId.value}/${attempt.number}" }
-
     private fun quarantine() {
         val fingerprint = job.chat.fingerprint
         parts.crashes.quarantine(fingerprint, job.requestId, now()) {
@@ -175,92 +212,73 @@
     /** How the request would fail if it ended now. */
     private fun failure(): ChatFailure = RetryRules.failure(ends, tokens.isNotEmpty())
 
-    private fun isRetried(end: AttemptEnd): Boolean =
-        if (wasAccepted && end.fate == AttemptOutcome.NOT_RUN) {
-            RetryRules.isRetryable(end) && mayWaitForProgress()
+    private fun isRetried(end: AttemptEnd, isPaid: Boolean): Boolean =
+        if (progress.wasAccepted && end.fate == AttemptOutcome.NOT_RUN) {
+            RetryRules.isRetryable(end) && progress.mayWait(now())
         } else {
-            RetryRules.mayFollow(ends, wasAccepted) &&
-                (!RetryRules.isCharged(end) || parts.retries.withdraw(now()))
+            RetryRules.mayFollow(ends, progress.wasAccepted) &&
+                (isPaid || !RetryRules.isCharged(end) || parts.retries.withdraw(now()))
         }
 
-    private fun mayWaitForProgress() = now() - lastProgressAtMs < MAX_RESUME_WAIT_MS
-
     private fun dispatch() {
-        val remainingMs = remainingMs()
-        if (remainingMs <= 0) return fail(failure().tooLate(job.caller.workClass.targetMs))
-        val mode = parts.crashes.mode(job.chat, now())
-        if (mode == RunMode.REFUSED) return fail(quarantined())
-        val permitted = permit ?: return askPermit()
+        if (progress.remainingMs(now()) <= 0) return fail(tooLate())
+        if (permit.mode(now()) == RunMode.REFUSED) return fail(quarantined())
+        val isolated = permit.isIsolated(now()) ?: return permit.ask(::onPermit)
         val head = search.next(now()) ?: return waitForHead()
-        isolated = hasCrashed || RunMode.ISOLATED in setOf(mode, permitted)
-        val next = ChatAttempt(attemptCount++, head, context.clock::nowMs, this)
-        attempt = next
-        parts.heads.loads.sent(head.instance)
-        recorder.headChosen(next, isolated, tokens.size)
-        next.call = parts.open(next, job, tokens.toList(), remainingMs, isolated)
+        open(head, isolated)
     }
 
-    private fun askPermit() {
-        if (isAskingPermit) return
-        isAskingPermit = true
-        isWaitingForPermit = false
-        parts.permits.request(job.chat.fingerprint, job.requestId, ::onPermit)
+    private fun open(head: FlowStage, isolated: Boolean) {
+        val next = ChatAttempt(attemptCount++, head, isolated, context.clock::nowMs, this)
+        handover.add(next)
+        parts.heads.loads.sent(head.instance)
+        recorder.headChosen(next, tokens.size)
+        next.call = parts.open(next, job, tokens.toList(), progress.remainingMs(now()))
     }
 
     @Synchronized
     private fun onPermit(mode: RunMode) {
-        isAskingPermit = false
+        permit.answered(mode)
         when {
             done -> Unit
             mode == RunMode.REFUSED -> quarantine()
             mode == RunMode.WAITING -> waitForPermit()
-            else -> {
-                permit = mode
-                dispatch()
-            }
+            else -> dispatch()
         }
     }
 
     private fun waitForPermit() {
-        isWaitingForPermit = true
-        if (wasAccepted && !mayWaitForProgress()) {
+        if (progress.wasAccepted && !progress.mayWait(now())) {
             fail(failure())
         }
     }
 
     private fun waitForHead() {
         val isOver =
-            if (wasAccepted) {
-                !mayWaitForProgress()
-            } else {
-                search.waitedMs(now()) >= MAX_HEAD_WAIT_MS
-            }
+            if (progress.wasAccepted) !progress.mayWait(now()) else search.isOver(now())
         if (RetryRules.isFull(ends) || isOver) {
             fail(failure())
         }
     }
 
-    // A request that a head had accepted is worth finishing late.
-    private fun remainingMs(): Long {
-        val remainingMs = job.receivedAtMs + job.caller.workClass.targetMs - now()
-        return if (wasAccepted) maxOf(remainingMs, RESUME_TIME_MS) else remainingMs
-    }
-
     @Synchronized
     private fun callerGone() {
         if (done) return
-        attempt?.let {
-            leave(it)
-            parts.cancel(it, job.requestId)
-        }
         done = true
+        giveUpAll()
         parts.permits.ended(job.chat.fingerprint, job.requestId)
         recorder.callerGone(tokens.size, attemptCount)
         onDone()
     }
 
+    private fun giveUpAll() =
+        handover.attempts.forEach {
+            leave(it)
+            parts.cancel(it, job.requestId)
+        }
+
     private fun leave(attempt: ChatAttempt) {
-        this.attempt = null
+        handover.remove(attempt)
         parts.heads.loads.finished(attempt.head.instance)
     }
 
@@ -271,24 +289,11 @@
 
     private fun finish(failure: ChatFailure?) {
         done = true
+        giveUpAll()
         parts.permits.ended(job.chat.fingerprint, job.requestId)
         recorder.ended(failure, tokens.size, attemptCount, now())
         onDone()
     }
 
     private fun now() = context.clock.nowMs()
-
-    private companion object {
-        // Heads send a line at least each 250 ms.
-        const val SILENCE_MS = 1_200L
-
-        // The loss of a head is to be repaired within two seconds.
-        const val RESUME_TIME_MS = 2_000L
-
-        // A crashed backend server or a lost zone is back or replaced within this time.
-        const val MAX_RESUME_WAIT_MS = 10_000L
-
-        // A failed zone leaves the membership within this time, and other heads become known.
-        const val MAX_HEAD_WAIT_MS = 2_000L
-    }
 }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/HeadSearch.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/HeadSearch.kt
@@ -26,15 +26,18 @@
         return head
     }
 
-    /** Time since no head is left. */
-    fun waitedMs(nowMs: Long): Long = waitsSinceMs?.let { nowMs - it } ?: 0
+    /** The head to try beside those of [open], which still serve the request; null if none is. */
+    fun nextBeside(open: Set<InstanceId>, nowMs: Long): FlowStage? = choose(nowMs, open)
+
+    /** True if no head has been left for too long. */
+    fun isOver(nowMs: Long): Boolean = waitsSinceMs?.let { nowMs - it >= MAX_WAIT_MS } ?: false
 
     // Once each head has failed, those that failed first may serve again after a pause.
-    private fun choose(nowMs: Long): FlowStage? =
-        heads.choose(model, excluded, nowMs)
+    private fun choose(nowMs: Long, open: Set<InstanceId> = emptySet()): FlowStage? =
+        heads.choose(model, excluded + open, nowMs)
             ?: if (nowMs - roundStartedAtMs >= ROUND_MS) {
                 excluded.clear()
-                heads.choose(model, excluded, nowMs)
+                heads.choose(model, open, nowMs)
             } else {
                 null
             }
@@ -43,5 +46,8 @@
         // Rounds over all heads are at least this far apart, so that heads that are not ready do
         // not use up the attempts of a request within milliseconds.
         const val ROUND_MS = 500L
+
+        // A failed zone leaves the membership within this time, and other heads become known.
+        const val MAX_WAIT_MS = 2_000L
     }
 }
