Count all open attempts against the servers that may run a stream

Callers' streams could run on more servers than their route allows: a stream whose server and successor were both silent was sent to a third one, although two may run it and both still had the request.

Cause: since a move keeps the current attempt open, the bound on servers took only the newest attempt into account; the other one is recorded once it ends. An optional move had the same gap.

Successor and optional moves now count every open attempt, and a successor never takes the path of one that is open.

Evidence: OpenAttemptsSpec, "is not sent to a third server while it is open at two", on: three servers ran the stream. With this change: two. AttemptBoundSpec has the case too.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/AttemptBound.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/AttemptBound.kt
@@ -36,13 +36,14 @@
     fun allows(address: String, hasEnded: (address: String) -> Boolean): Boolean =
         address in ranOn || ranOn.count { it !in interrupted || !hasEnded(it) } < maxServers
 
-    /** This bound as it would be if the attempt at [address] ended because it is unresponsive. */
-    fun ifInterruptedAt(address: String): AttemptBound =
-        AttemptBound(maxServers, ranOn, interrupted)
-            .also { it.recordAttempt(address, interrupted = true) }
+    /** This bound as if the open attempts at [addresses] ended because these are unresponsive. */
+    fun ifInterruptedAt(addresses: Collection<String>): AttemptBound =
+        AttemptBound(maxServers, ranOn, interrupted).also { next ->
+            addresses.forEach { next.recordAttempt(it, interrupted = true) }
+        }
 
-    /** True if the request may move from the server at [current] to one that has not run it. */
-    fun allowsMoveFrom(current: String): Boolean = (ranOn + current).size < maxServers
+    /** True if a request that is open at [current] may move to a server that has not run it. */
+    fun allowsMoveFrom(current: Collection<String>): Boolean = (ranOn + current).size < maxServers
 }
 
 /** Creates the bound of a request that at most [maxServers] servers may run. */
--- a/decision/src/test/kotlin/org/jacinthlink/decision/retry/AttemptBoundSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/AttemptBoundSpec.kt
@@ -36,17 +36,24 @@
             it("shows without a move whether another server may run the request after it") {
                 val bound = attemptBound(2)
                 bound.recordAttempt("a", interrupted = true)
-                bound.ifInterruptedAt("b").allows("c") { false } shouldBe false
-                bound.ifInterruptedAt("b").allows("a") { false } shouldBe true
+                bound.ifInterruptedAt(listOf("b")).allows("c") { false } shouldBe false
+                bound.ifInterruptedAt(listOf("b")).allows("a") { false } shouldBe true
                 bound.allows("c") { false } shouldBe true
             }
 
+            // Guards against a third run beside two open attempts.
+            it("counts all its open attempts") {
+                val bound = attemptBound(2)
+                bound.ifInterruptedAt(listOf("a", "b")).allows("c") { false } shouldBe false
+                bound.allowsMoveFrom(listOf("a", "b")) shouldBe false
+            }
+
             // Guards against optional moves that leave no other server when a server fails.
             it("makes only one optional move") {
                 val bound = attemptBound(2)
-                bound.allowsMoveFrom("a") shouldBe true
+                bound.allowsMoveFrom(listOf("a")) shouldBe true
                 bound.recordAttempt("a", interrupted = true)
-                bound.allowsMoveFrom("b") shouldBe false
+                bound.allowsMoveFrom(listOf("b")) shouldBe false
             }
         }
     })
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PathSelection.kt
@@ -32,19 +32,22 @@
             ?: choose(nowMs, demand) { bound.allows(it) }
 
     /**
-     * The path for an attempt beside the one over [current], or null if there is none now. It
+     * The path for an attempt beside those over the [open] paths, or null if there is none now. It
      * begins at another server if possible.
      */
-    fun successor(current: ServingPath, nowMs: Long): ServingPath? {
-        val nextBound = bound.ifInterruptedAt(current.first.address)
-        val avoided = failedFirstServers + current.first.address
+    fun successor(open: List<ServingPath>, nowMs: Long): ServingPath? {
+        val openServers = open.map { it.first.address }
+        val openIds = open.map { it.id }
+        val nextBound = bound.ifInterruptedAt(openServers)
+        val avoided = failedFirstServers + openServers
         return choose(nowMs, PathDemand.RESUMPTION) {
             nextBound.allows(it) && it.first.address !in avoided
-        } ?: choose(nowMs, PathDemand.RESUMPTION) { nextBound.allows(it) && it.id != current.id }
+        } ?: choose(nowMs, PathDemand.RESUMPTION) { nextBound.allows(it) && it.id !in openIds }
     }
 
-    /** True if the request may move from [path] to one whose first server has not run it. */
-    fun mayLeave(path: ServingPath): Boolean = bound.allowsMoveFrom(path.first.address)
+    /** True if the request may move from the [open] paths to a server that has not run it. */
+    fun mayLeave(open: List<ServingPath>): Boolean =
+        bound.allowsMoveFrom(open.map { it.first.address })
 
     /** True if a path of another zone than that of [current] has capacity for the request. */
     fun hasAlternative(current: ServingPath, nowMs: Long): Boolean =
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.router.relay
 
+import org.jacinthlink.decision.paths.ServingPath
 import org.jacinthlink.decision.retry.MoveReason
 import org.jacinthlink.decision.retry.isSettledByEvent
 
@@ -27,6 +28,9 @@
     /** The attempt that was started last, or null. */
     val newest: StreamAttempt? get() = successor ?: current
 
+    /** Paths of the open attempts, the newest last. */
+    val paths: List<ServingPath> get() = attempts.map { it.path }
+
     /** True if there is no open attempt. */
     val isEmpty: Boolean get() = current == null
 
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
@@ -18,15 +18,18 @@
     fun ended(hasAnswered: Boolean, nowMs: Long) =
         if (hasAnswered) backoff.reset() else backoff.recordFailure(nowMs)
 
-    /** Why the stream stays on [path] in spite of [reason], or null if another path takes it. */
-    fun obstacle(path: ServingPath, reason: MoveReason, nowMs: Long): MoveObstacle? =
+    /**
+     * Why the stream stays on its [open] paths, the newest last, in spite of [reason], or null if
+     * another path takes it.
+     */
+    fun obstacle(open: List<ServingPath>, reason: MoveReason, nowMs: Long): MoveObstacle? =
         when {
             !attempts.mayRetry -> MoveObstacle.NO_ATTEMPTS_LEFT
             !backoff.allowsAttempt(nowMs) -> MoveObstacle.FAILED_BEFORE
             !hasBudget(reason, nowMs) -> MoveObstacle.RETRY_BUDGET
             context.contents.harmfulIn(request.content, nowMs) != null ->
                 MoveObstacle.HARMFUL_CONTENT
-            !hasPath(path, reason, nowMs) -> MoveObstacle.NO_PATH
+            !hasPath(open, reason, nowMs) -> MoveObstacle.NO_PATH
             else -> null
         }
 
@@ -38,13 +41,13 @@
                 context.retryBudget.allowsOptionalRetry(nowMs)
         }
 
-    private fun hasPath(path: ServingPath, reason: MoveReason, nowMs: Long): Boolean =
+    private fun hasPath(open: List<ServingPath>, reason: MoveReason, nowMs: Long): Boolean =
         when (reason) {
-            MoveReason.ServerSilent -> pathSelection.successor(path, nowMs) != null
+            MoveReason.ServerSilent -> pathSelection.successor(open, nowMs) != null
             MoveReason.ServerLeaves, MoveReason.SlowToBegin ->
-                pathSelection.mayLeave(path) &&
-                    pathSelection.hasAlternative(path, nowMs) &&
-                    pathSelection.successor(path, nowMs) != null
+                pathSelection.mayLeave(open) &&
+                    pathSelection.hasAlternative(open.last(), nowMs) &&
+                    pathSelection.successor(open, nowMs) != null
         }
 
     private companion object {
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -43,7 +43,7 @@
 
     /** True if another path takes the stream, which should move because of [reason]. */
     fun mayMove(reason: MoveReason, nowMs: Long): Boolean =
-        handover.newest?.let { moves.obstacle(it.path, reason, nowMs) == null } == true
+        !handover.isEmpty && moves.obstacle(handover.paths, reason, nowMs) == null
 
     /** Starts the relay. The request is sent when a path has capacity for it. */
     fun start() {
@@ -79,9 +79,9 @@
      */
     fun move(reason: MoveReason, nowMs: Long) {
         val newest = handover.newest ?: return
-        val obstacle = moves.obstacle(newest.path, reason, nowMs)
+        val obstacle = moves.obstacle(handover.paths, reason, nowMs)
         if (obstacle != null) return streamLog.stays(newest, obstacle, nowMs)
-        val path = pathSelection.successor(newest.path, nowMs) ?: return
+        val path = pathSelection.successor(handover.paths, nowMs) ?: return
         if (!context.retryBudget.tryRetry(nowMs)) return
         handover.successor?.let { abandon(it, reason.label) }
         if (reason == MoveReason.ServerSilent) failures.serverSilent(newest)
--- /dev/null
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -0,0 +1,77 @@
+package org.jacinthlink.router
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldEndWith
+import org.jacinthlink.router.standins.EngineStandIn
+import org.jacinthlink.router.standins.EngineStandIn.Script
+import org.jacinthlink.router.standins.RouterFixture
+import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.configuration
+
+/** Streams with two open attempts. */
+class OpenAttemptsSpec :
+    DescribeSpec({
+        fun ids(answer: String) =
+            Regex("""id: (\d+)""").findAll(answer).map { it.groupValues[1].toInt() }.toList()
+
+        fun shouldBeWhole(answer: String, events: Int) {
+            ids(answer) shouldBe (1..events).toList()
+            answer shouldEndWith "0\r\n\r\n"
+        }
+
+        /** Runs [disturb] with the server of a stream under way, and returns the whole response. */
+        fun RouterFixture.streamWhile(
+            extraHeaders: String = "",
+            disturb: (first: EngineStandIn) -> Unit
+        ): String =
+            open("/s/x", "stream", extraHeaders = extraHeaders).use { socket ->
+                await { engines.any { it.runs.isNotEmpty() } }
+                Thread.sleep(BEGUN_MS)
+                disturb(engines.first { it.runs.isNotEmpty() })
+                socket.getInputStream().readAllBytes().decodeToString()
+            }
+
+        fun RouterFixture.others(first: EngineStandIn) = engines.filter { it !== first }
+
+        /** A fixture each of whose engines is a path by itself, and [attempts] servers may run. */
+        fun fourPaths(attempts: Int, eventCount: Int): RouterFixture =
+            RouterFixture(eventCount, EVENT_INTERVAL_MS, isConfigured = false).also {
+                val text =
+                    configuration()
+                        .replace("\"maxAttempts\":2", "\"maxAttempts\":$attempts")
+                        .replace("\"layers\":8", "\"layers\":1")
+                it.store.write("op/config", text)
+                it.awaitPaths()
+            }
+
+        fun EngineStandIn.neverAnswer() {
+            script = Script.Stalled(0)
+            reportDelayMs = 10_000
+        }
+
+        describe("a stream that two servers may run") {
+            // Guards against a third run while the first server still has the request.
+            it("is not sent to a third server while it is open at two") {
+                fourPaths(attempts = 2, EVENTS).use { fixture ->
+                    fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.neverAnswer() }
+                        first.fallSilent(10_000)
+                    }
+                    fixture.engines.count { it.runs.isNotEmpty() } shouldBeLessThanOrEqual 2
+                }
+            }
+        }
+    })
+
+private const val EVENTS = 60
+private const val EVENT_INTERVAL_MS = 40L
+
+/** A stream that is expected to last longer than a draining server serves. */
+private const val LONG_STREAM = "Length-Hint: 400\r\n"
+
+/** The stream has had some events by then. */
+private const val BEGUN_MS = 250L
+private const val NEEDLESS_MOVES_MS = 1_700L
+private const val ANSWERED_MS = 100L
