Keep runs of a stream for when its server is lost

Callers saw a stream cut at once when its server was lost, after that server had worked, slowly, without answering probes.

Cause: each time the server was silent for a moment a successor was started, the server's next event made it needless, and that counted as a success: no pause before the next move. Five runs were used up within 1.1 s, and a lost stream without runs is closed. The runs took retries of the budget too.

A needless successor now counts as a failed move, so that the pause before the next one grows, and moves leave two of the six runs for lost streams.

StreamAttemptsSpec has the limit.

--- a/decision/src/main/kotlin/org/jacinthlink/decision/retry/StreamAttempts.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/retry/StreamAttempts.kt
@@ -36,6 +36,9 @@
     /** True if there may be another attempt. */
     val mayRetry: Boolean get() = mayRunAgain && possibleRuns < MAX_RUNS && !isRejectedTooOften
 
+    /** True if there may be another attempt while one is open; a lost stream needs some later. */
+    val mayMove: Boolean get() = mayRetry && possibleRuns < MAX_RUNS - KEPT_RUNS
+
     /** Records that an attempt is sent. */
     fun sent() {
         count++
@@ -56,6 +59,9 @@
 
     private companion object {
         const val MAX_RUNS = 6
+
+        /** Runs that are kept for when servers of the stream are lost. */
+        const val KEPT_RUNS = 2
         const val MAX_UNRUN = 6
     }
 }
--- a/decision/src/test/kotlin/org/jacinthlink/decision/retry/StreamAttemptsSpec.kt
+++ b/decision/src/test/kotlin/org/jacinthlink/decision/retry/StreamAttemptsSpec.kt
@@ -50,6 +50,19 @@
             }
         }
 
+        describe("a stream that has moved again and again") {
+            // Guards against a stream that is cut because needless moves have used up its runs.
+            it("keeps two runs for when its server is lost") {
+                val attempts = StreamAttempts(mayRunAgain = true)
+                repeat(3) { attempts.sent() }
+                attempts.mayMove shouldBe true
+                attempts.sent()
+                attempts.mayMove shouldBe false
+                attempts.sent()
+                attempts.mayRetry shouldBe true
+            }
+        }
+
         describe("a stream that may run only once") {
             it("has no other attempt") {
                 StreamAttempts(mayRunAgain = false).mayRetry shouldBe false
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
@@ -14,7 +14,7 @@
 ) {
     private val backoff = exponentialBackoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS)
 
-    /** Records that a move has ended; [hasAnswered] is true if one of its attempts has answered. */
+    /** Records that a move has ended; [hasAnswered] is true if its successor answered in time. */
     fun ended(hasAnswered: Boolean, nowMs: Long) =
         if (hasAnswered) backoff.reset() else backoff.recordFailure(nowMs)
 
@@ -24,7 +24,7 @@
      */
     fun obstacle(open: List<ServingPath>, reason: MoveReason, nowMs: Long): MoveObstacle? =
         when {
-            !attempts.mayRetry -> MoveObstacle.NO_ATTEMPTS_LEFT
+            !attempts.mayMove -> MoveObstacle.NO_ATTEMPTS_LEFT
             !backoff.allowsAttempt(nowMs) -> MoveObstacle.FAILED_BEFORE
             !hasBudget(reason, nowMs) -> MoveObstacle.RETRY_BUDGET
             context.contents.harmfulIn(request.content, nowMs) != null ->
@@ -58,7 +58,7 @@
 
 /** Why a stream stays on its path. */
 internal enum class MoveObstacle {
-    /** The request may run only once, or has run too often. */
+    /** The request may run only once, or has run often. */
     NO_ATTEMPTS_LEFT,
 
     /** Another path has just rejected this stream, or failed it. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -163,9 +163,10 @@
     private fun eventsReceived(current: StreamAttempt, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         val nowMs = context.clockMs()
+        val isSuccessor = current === handover.successor
         handover.answered(current, request.route.targetLatencyMs)?.let { needless ->
             abandon(needless, "needless")
-            moves.ended(hasAnswered = needless !== current, nowMs)
+            moves.ended(hasAnswered = isSuccessor && needless !== current, nowMs)
             if (needless === current) return
         }
         current.lastActivityAtMs = nowMs
--- a/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -63,6 +63,21 @@
                 }
             }
         }
+
+        describe("a stream whose server works, but answers no probes") {
+            // Guards against streams that are cut because needless moves have used up their runs.
+            it("is not cut when this server is lost later") {
+                RouterFixture(eventCount = 9, eventIntervalMs = 250).use { fixture ->
+                    fixture.awaitPaths()
+                    val answer = fixture.streamWhile { first ->
+                        first.reportDelayMs = 10_000
+                        Thread.sleep(NEEDLESS_MOVES_MS)
+                        first.stop()
+                    }
+                    shouldBeWhole(answer, events = 9)
+                }
+            }
+        }
     })
 
 private const val EVENTS = 60
