Keep the reason of a move when its successor is replaced

A stream that was to leave a draining server met a successor that did not answer. The one sent in its place was given up at the next event of the draining server, and a fourth server had to run the stream.

Cause: the second try took over the reason "server silent", which an event of the current server settles; but the silent server was the successor, and the stream still had to leave.

A successor that is replaced now passes the reason of the move on.

Evidence: OpenAttemptsSpec, "leaves its draining server for a third one": without this change four runs, with it three.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -12,7 +12,7 @@
  * that is rejected, fails or falls silent costs the caller nothing.
  */
 internal class StreamHandover {
-    private var reason: MoveReason? = null
+    private var moveReason: MoveReason? = null
 
     /** The attempt that serves the caller, or null if there is none. */
     var current: StreamAttempt? = null
@@ -22,6 +22,9 @@
     var successor: StreamAttempt? = null
         private set
 
+    /** Why [successor] is to replace [current], or null if there is no successor. */
+    val reason: MoveReason? get() = moveReason.takeIf { successor != null }
+
     /** All open attempts. */
     val attempts: List<StreamAttempt> get() = listOfNotNull(current, successor)
 
@@ -40,11 +43,11 @@
         current = attempt
     }
 
-    /** Adds an attempt that is to replace the current one because of [moveReason]. */
-    fun beginMove(attempt: StreamAttempt, moveReason: MoveReason) {
+    /** Adds an attempt that is to replace the current one because of [reason]. */
+    fun beginMove(attempt: StreamAttempt, reason: MoveReason) {
         check(successor == null) { "there is a successor already" }
         successor = attempt
-        reason = moveReason
+        moveReason = reason
     }
 
     operator fun contains(attempt: StreamAttempt): Boolean =
@@ -60,7 +63,7 @@
         val next = successor
         return when {
             working == null || next == null -> null
-            attempt === working -> next.takeIf { reason?.isSettledByEvent() == true }
+            attempt === working -> next.takeIf { moveReason?.isSettledByEvent() == true }
             // The caller would wait until the successor has made the events that it has already.
             working.lastActivityAtMs - next.startedAtMs > maxLagMs -> next
             else -> working.also { swap() }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -83,10 +83,12 @@
         if (obstacle != null) return streamLog.stays(newest, obstacle, nowMs)
         val path = pathSelection.successor(handover.paths, nowMs) ?: return
         if (!context.retryBudget.tryRetry(nowMs)) return
+        // A successor is replaced because it does not answer; why the stream moves is unchanged.
+        val moveReason = handover.reason ?: reason
         handover.successor?.let { abandon(it, reason.label) }
         if (reason == MoveReason.ServerSilent) failures.serverSilent(newest)
         val next = sender.attempt(path, reason.label, nowMs, callbacks)
-        handover.beginMove(next, reason)
+        handover.beginMove(next, moveReason)
         sender.send(next, nowMs)
     }
 
--- a/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -78,6 +78,26 @@
                 }
             }
         }
+
+        describe("a stream whose successor does not answer") {
+            // Guards against a move whose second try ends at the next event of the first server.
+            it("leaves its draining server for a third one") {
+                fourPaths(attempts = 4, EVENTS).use { fixture ->
+                    var from: EngineStandIn? = null
+                    val answer = fixture.streamWhile(LONG_STREAM) { first ->
+                        from = first
+                        fixture.engines.filter { it.zone == first.zone && it !== first }.forEach {
+                            it.neverAnswer()
+                        }
+                        val entry = first.entry("model", state = "draining")
+                        fixture.store.write("servers/${first.instanceId}", entry)
+                    }
+                    fixture.engines.sumOf { it.runs.size } shouldBe 3
+                    shouldBeWhole(answer, EVENTS)
+                    from?.cancelledCount?.get() shouldBe 1
+                }
+            }
+        }
     })
 
 private const val EVENTS = 60
