Replace a successor that sends no event while the stream is silent

Callers waited until their deadline when the server of their stream was silent and its successor, which answered probes, never sent an event, although a third server was free and allowed.

Cause: only a stream with a single attempt could be slow to begin. With two, no rule gave up the successor.

Now a stream is slow to begin if its newest attempt has had no event and no open attempt has had one in time, so a working server still keeps its stream.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamTable.kt
@@ -105,8 +105,9 @@
     }
 
     private fun StreamRelay.isSlowToBegin(nowMs: Long): Boolean {
-        val only = openAttempts.singleOrNull() ?: return false
-        return !only.hasEvents && nowMs - only.startedAtMs > FIRST_EVENT_LIMIT_MS
+        val newest = newestAttempt ?: return false
+        val sinceMs = openAttempts.maxOf { it.lastActivityAtMs }
+        return !newest.hasEvents && nowMs - sinceMs > FIRST_EVENT_LIMIT_MS
     }
 
     private fun StreamAttempt?.isSilentAt(
--- a/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -97,6 +97,20 @@
                     from?.cancelledCount?.get() shouldBe 1
                 }
             }
+
+            // Guards against a stream that waits for its successor in vain until its deadline.
+            it("is served by a third one when its own is silent") {
+                fourPaths(attempts = 3, eventCount = 20).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        val others = fixture.others(first)
+                        others.forEach { it.script = Script.Dripping }
+                        first.fallSilent(10_000)
+                        await { others.any { it.runs.isNotEmpty() } }
+                        others.filter { it.runs.isEmpty() }.forEach { it.script = Script.Serve }
+                    }
+                    shouldBeWhole(answer, events = 20)
+                }
+            }
         }
     })
 
