Keep a server's error answer while another attempt is open

Callers of a plain route got a 502 of this router in place of the answer that a server had given: its error came while the other attempt was open, and that attempt was lost afterwards.

Cause: an error was kept for later only if a retry was allowed, and dropped if it was the last one allowed and another attempt was open.

It is kept in both cases, and delivered if nothing better follows.

Evidence: OpenAttemptsSpec, "gets this answer when the first server is lost afterwards", on: 502 without a body. With this change it is the server's 500 with its text.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -108,11 +108,11 @@
             isDone -> Unit
             info.hasNotRun -> notRun(attempt)
             !info.isSigned -> failed(attempt, "unsigned answer")
-            info.status >= SERVER_ERROR && mayRetry() -> {
+            info.status < SERVER_ERROR -> deliver(attempt)
+            mayRetry() || openAttempts.isNotEmpty() -> {
                 lastFailure = attempt
                 failed(attempt, "status ${info.status}")
             }
-            info.status >= SERVER_ERROR && openAttempts.isNotEmpty() -> Unit
             else -> deliver(attempt)
         }
     }
--- a/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -112,6 +112,28 @@
                 }
             }
         }
+
+        describe("a plain request whose second server has answered with an error") {
+            // Guards against an answer that is thrown away while another attempt is open.
+            it("gets this answer when the first server is lost afterwards") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    val servers = fixture.plainServers
+                    servers.forEach { it.workMs = 2_000 }
+                    val answer = fixture.open("/safe/x", "plain").use { socket ->
+                        await { servers.any { it.runs.isNotEmpty() } }
+                        val first = servers.first { it.runs.isNotEmpty() }
+                        val second = servers.first { it !== first }
+                        second.script = Script.Fail
+                        await { second.runs.isNotEmpty() }
+                        Thread.sleep(ANSWERED_MS)
+                        first.stop()
+                        socket.getInputStream().readAllBytes().decodeToString()
+                    }
+                    answer shouldEndWith EngineStandIn.FAILURE
+                }
+            }
+        }
     })
 
 private const val EVENTS = 60
