--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -43,7 +43,7 @@
 
     /** True if another path takes the stream, which should move because of [reason]. */
     fun mayMove(reason: MoveReason, nowMs: Long): Boolean =
-        handover.newest?.let { moves.obstacle(it.path, reason, nowMs) == null } == true
+        !handover.isEmpty && moves.obstacle(handover.paths, reason, nowMs) == null
 
     /** Starts the relay. The request is sent when a path has capacity for it. */
     fun start() {
@@ -79,14 +79,16 @@
      */
     fun move(reason: MoveReason, nowMs: Long) {
         val newest = handover.newest ?: return
-        val obstacle = moves.obstacle(newest.path, reason, nowMs)
+        val obstacle = moves.obstacle(handover.paths, reason, nowMs)
         if (obstacle != null) return streamLog.stays(newest, obstacle, nowMs)
-        val path = pathSelection.successor(newest.path, nowMs) ?: return
+        val path = pathSelection.successor(handover.paths, nowMs) ?: return
         if (!context.retryBudget.tryRetry(nowMs)) return
+        // A successor is replaced because it does not answer; why the stream moves is unchanged.
+        val moveReason = handover.reason ?: reason
         handover.successor?.let { abandon(it, reason.label) }
         if (reason == MoveReason.ServerSilent) failures.serverSilent(newest)
         val next = sender.attempt(path, reason.label, nowMs, callbacks)
-        handover.beginMove(next, reason)
+        handover.beginMove(next, moveReason)
         sender.send(next, nowMs)
     }
 
@@ -163,9 +165,10 @@
     private fun eventsReceived(current: StreamAttempt, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         val nowMs = context.clockMs()
+        val isSuccessor = current === handover.successor
         handover.answered(current, request.route.targetLatencyMs)?.let { needless ->
             abandon(needless, "needless")
-            moves.ended(hasAnswered = needless !== current, nowMs)
+            moves.ended(hasAnswered = isSuccessor && needless !== current, nowMs)
             if (needless === current) return
         }
         current.lastActivityAtMs = nowMs
