Fail a soak in which a process ends by itself, and check harder trials

Callers saw requests of the harder trial end without an answer in single runs, and nothing told whether a process had ended: RouterProcess mixed standard error into its log, ServerProcess kept none, and exit codes were dropped.

Each process that SoakSpec or SuspendedServerSpec starts is now watched. Its standard error and exit codes are files beside the logs, and a run fails if one ended by itself or reported a failure of its event loop. ProcessWatchSpec shows that both are reported.

A stream may be cut only at its deadline, if the servers of its path ran for less time than it takes and the log names retry budget or path as the obstacle; a request that no line of the log names is reported as never read. SuspendedChecksSpec shows each of these.

SoakSpec has a second case, played by hand (-Dsoak.drain.seeds): engines drain, serve and leave while all others reject or stand still, beside configurations and planned stops.

--- a/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/RouterProcess.kt
@@ -2,19 +2,23 @@
 
 import java.io.File
 import java.nio.file.Path
-import java.util.concurrent.TimeUnit
 import kotlin.io.path.div
 import kotlin.io.path.writeText
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.router.RouterSettings
 
 /** A router in a separate process, which the soak test starts, signals and restarts. */
-internal class RouterProcess(private val settings: RouterSettings, private val folder: Path) :
-    AutoCloseable {
-    private val file = folder / "${settings.instance}.yaml"
+internal class RouterProcess(
+    private val settings: RouterSettings,
+    private val watch: ProcessWatch
+) : AutoCloseable {
+    private val file = watch.folder / "${settings.instance}.yaml"
 
     @Volatile
-    private var process: Process? = null
+    private var process: WatchedProcess? = null
+
+    /** File with the log of the router. */
+    val log: Path = watch.folder / "${settings.instance}.log"
 
     /** `IP:PORT` for callers. */
     val clients: String get() = settings.clients
@@ -24,24 +28,18 @@
         if (process?.isAlive == true) return
         file.writeText(ProtocolJson.encodeToString(RouterSettings.serializer(), settings))
         val command = jvmCommand("org.jacinthlink.router.MainKt", "--settings", "$file")
-        process =
-            ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(
-                    ProcessBuilder.Redirect.appendTo((folder / "${settings.instance}.log").toFile())
-                )
-                .start()
+        val output = ProcessBuilder.Redirect.appendTo(log.toFile())
+        process = watch.start(settings.instance, ProcessBuilder(command).redirectOutput(output))
     }
 
     /** Ends the process with SIGKILL. */
     fun kill() {
-        process?.destroyForcibly()?.waitFor()
+        process?.kill()
     }
 
     /** Sends SIGTERM, and kills the process if it does not end within the grace time. */
     fun terminate() {
-        val running = process ?: return
-        running.destroy()
-        if (!running.waitFor(settings.shutdownGraceS.toLong(), TimeUnit.SECONDS)) kill()
+        process?.terminate(settings.shutdownGraceS.toLong())
     }
 
     /** Suspends the process with SIGSTOP. */
@@ -62,11 +60,6 @@
     listOf(File(System.getProperty("java.home"), "bin/java").path) + JVM_OPTIONS +
         listOf("-cp", classPath(), mainClass) + arguments
 
-/** Sends the signal [name] to the process if it is alive. */
-internal fun Process.signal(name: String) {
-    if (isAlive) ProcessBuilder("kill", "-$name", pid().toString()).start().waitFor()
-}
-
 private val JVM_OPTIONS =
     listOf("-Xmx56m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/ServerProcess.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/ServerProcess.kt
@@ -10,20 +10,27 @@
 import org.jacinthlink.transport.eventLoop
 
 /** Starts a stand-in of a backend server in a process. */
-internal fun serverProcess(instanceId: String, zone: String, service: String): ServerProcess =
-    ServerProcess(instanceId, "$PACKAGE.ServerProcessKt", listOf(instanceId, zone, service))
+internal fun serverProcess(
+    instanceId: String,
+    zone: String,
+    service: String,
+    watch: ProcessWatch
+): ServerProcess =
+    ServerProcess(instanceId, "$PACKAGE.ServerProcessKt", listOf(instanceId, zone, service), watch)
 
 /** Starts a server in a process that writes answers twice, at random as [seed] decides. */
 internal fun stutteringProcess(
     instanceId: String,
     zone: String,
     service: String,
-    seed: Int
+    seed: Int,
+    watch: ProcessWatch
 ): ServerProcess =
     ServerProcess(
         instanceId,
         "$PACKAGE.StutteringServerKt",
-        listOf(instanceId, zone, service, "$seed")
+        listOf(instanceId, zone, service, "$seed"),
+        watch
     )
 
 /**
@@ -32,45 +39,61 @@
  * Unlike a stand-in in the process of the test, a suspended one still accepts connections and
  * takes requests, as the operating system does that for it.
  */
-internal class ServerProcess(val instanceId: String, mainClass: String, arguments: List<String>) :
-    AutoCloseable {
-    private val process =
-        ProcessBuilder(jvmCommand(mainClass, *arguments.toTypedArray()))
-            .redirectError(ProcessBuilder.Redirect.INHERIT)
-            .start()
+internal class ServerProcess(
+    val instanceId: String,
+    mainClass: String,
+    arguments: List<String>,
+    watch: ProcessWatch
+) : AutoCloseable {
+    private val watched =
+        watch.start(
+            instanceId,
+            ProcessBuilder(jvmCommand(mainClass, *arguments.toTypedArray()))
+        )
     private val firstLine = CompletableFuture<String>()
 
     /** Requests that the server has run, if its process prints them. */
     val runs: MutableList<EngineStandIn.Run> = CopyOnWriteArrayList()
 
+    /** Times in which [suspendFor] kept the process stopped. */
+    val suspensionsMs: MutableList<LongRange> = CopyOnWriteArrayList()
+
     init {
         thread(isDaemon = true) {
-            process.inputReader().forEachLine { if (!firstLine.complete(it)) runs.add(run(it)) }
+            watched.process.inputReader().forEachLine {
+                if (!firstLine.complete(it)) runs.add(run(it))
+            }
         }
     }
 
     /** Entry of the server in the store, which its process has printed. */
     val entry: String get() = firstLine.get(START_S, TimeUnit.SECONDS)
 
+    /** Address of the server in [entry]. */
+    val address: String by lazy { ADDRESS.find(entry)!!.value }
+
     /** Stops the process for [durationMs]. */
     fun suspendFor(durationMs: Long) {
+        val beganAtMs = monotonicMs()
         suspendProcess()
         Thread.sleep(durationMs)
         resumeProcess()
+        suspensionsMs.add(beganAtMs..monotonicMs())
     }
 
     /** Suspends the process with SIGSTOP. */
-    fun suspendProcess() = process.signal("STOP")
+    fun suspendProcess() = watched.signal("STOP")
 
     /** Resumes a suspended process with SIGCONT. */
-    fun resumeProcess() = process.signal("CONT")
+    fun resumeProcess() = watched.signal("CONT")
 
     override fun close() {
-        process.destroyForcibly().waitFor()
+        watched.kill()
     }
 
     private companion object {
         const val START_S = 20L
+        val ADDRESS = Regex("""[\d.]+:\d+""")
 
         /** Reads a line with the head of a request, whose lines are separated by tabs. */
         fun run(line: String): EngineStandIn.Run {
@@ -84,6 +107,9 @@
     }
 }
 
+/** Time in the process of the test. */
+internal fun monotonicMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+
 private const val PACKAGE = "org.jacinthlink.router.soak"
 private const val EVENT_INTERVAL_MS = 40L
 
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakCaller.kt
@@ -45,6 +45,7 @@
  * @property signature Signature of a server, or null if the response has none.
  * @property answeredId Id of the request that the response names, or null if it names none.
  * @property isUnanswered True if the request did not end within the caller's timeout.
+ * @property startedAtMs Time at which the caller began to send the request.
  */
 internal data class CallResult(
     val id: String,
@@ -54,14 +55,18 @@
     val signature: String?,
     val answeredId: String?,
     val body: String,
-    val isUnanswered: Boolean
+    val isUnanswered: Boolean,
+    val startedAtMs: Long
 )
 
 /**
  * Sends requests with the deadline [deadlineMs] over connections that are kept alive until a router
- * closes them.
+ * closes them. [lengthHint] is the number of events that streams are said to have.
  */
-internal class SoakCaller(private val deadlineMs: Long = DEADLINE_MS) {
+internal class SoakCaller(
+    private val deadlineMs: Long = DEADLINE_MS,
+    private val lengthHint: Int? = null
+) {
     private val client =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -70,7 +75,8 @@
 
     /** Sends one request to the router at [address] and reads the response. */
     fun call(address: String, kind: CallKind, id: String): CallResult {
-        val noResponse = CallResult(id, kind, null, false, null, null, "", isUnanswered = false)
+        val startedAtMs = monotonicMs()
+        val noResponse = CallResult(id, kind, null, false, null, null, "", false, startedAtMs)
         return try {
             val answer = client.send(request(address, kind, id), BODY)
             read(answer.body(), noResponse.withHead(answer))
@@ -111,6 +117,7 @@
             .header("Token-Counts", "100,20")
             .header("Tenant", "forged")
             .timeout(Duration.ofMillis(CLIENT_TIMEOUT_MS))
+            .apply { lengthHint?.let { header("Length-Hint", "$it") } }
             .build()
 
     private companion object {
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakFault.kt
@@ -19,6 +19,17 @@
 
     data class RouterStopped(override val router: Int) : OfRouter
 
+    /** No fault: what a sound server does. */
+    sealed interface OfSoundServer : SoakFault {
+        val server: String
+    }
+
+    /** A server drains, goes on serving, and leaves; another one takes its place. */
+    data class ServerLeaves(override val server: String) : OfSoundServer
+
+    /** A server answers nothing and goes on. */
+    data class ServerSilent(override val server: String) : OfSoundServer
+
     data object StoreRefuses : SoakFault
 
     data class StoreSlow(val router: Int) : SoakFault
@@ -111,7 +122,7 @@
 
 /** Injects [planned] for its duration. */
 internal fun SoakSite.inject(planned: PlannedFault) {
-    val actions = actionsOf(planned.fault)
+    val actions = actionsOf(planned)
     actions.begin()
     Thread.sleep(planned.durationMs)
     actions.end()
@@ -120,9 +131,10 @@
 /** Actions that begin and end a fault. */
 private class FaultActions(val begin: () -> Unit, val end: () -> Unit = {})
 
-private fun SoakSite.actionsOf(fault: SoakFault): FaultActions =
-    when (fault) {
+private fun SoakSite.actionsOf(planned: PlannedFault): FaultActions =
+    when (val fault = planned.fault) {
         is SoakFault.OfRouter -> actionsOf(fault, routers[fault.router])
+        is SoakFault.OfSoundServer -> actionsOf(fault, server(fault.server), planned.durationMs)
         SoakFault.StoreRefuses -> FaultActions({ store.isUnavailable = true }, {
             store.isUnavailable =
                 false
@@ -149,6 +161,16 @@
         is SoakFault.RouterStopped -> FaultActions(router::terminate, router::start)
     }
 
+private fun SoakSite.actionsOf(
+    fault: SoakFault.OfSoundServer,
+    server: EngineStandIn,
+    durationMs: Long
+): FaultActions =
+    when (fault) {
+        is SoakFault.ServerLeaves -> leaving(server)
+        is SoakFault.ServerSilent -> FaultActions({ server.fallSilent(durationMs) })
+    }
+
 private fun SoakSite.suspended(instanceId: String): FaultActions {
     val server = stutteringServers.first { it.instanceId == instanceId }
     return FaultActions(server::suspendProcess, server::resumeProcess)
@@ -172,6 +194,15 @@
 private fun SoakSite.draining(server: EngineStandIn) =
     FaultActions({ register(server, "draining") }, { register(server) })
 
+private fun SoakSite.leaving(server: EngineStandIn) =
+    FaultActions({ register(server, "draining") }, {
+        leave(server)
+        proxy.cutAll(server.instanceId)
+        Thread.sleep(AWAY_MS)
+        server.beginAnew()
+        register(server)
+    })
+
 /** Ends all faults, because overlapping faults may leave some of them in effect. */
 internal fun SoakSite.endAllFaults() {
     store.isUnavailable = false
@@ -211,6 +242,9 @@
 
 /** Number of equally likely cases; two of them are [SoakFault.ServerScripted]. */
 private const val FAULT_KINDS = 14
+
+/** Time between the end of a server and the entry of the one that takes its place. */
+private const val AWAY_MS = 300L
 private const val MAX_STUTTERING_GAP_MS = 3_000L
 private const val MAX_STUTTERING_DURATION_MS = 900L
 private const val STUTTERING_FAULT_KINDS = 3
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSite.kt
@@ -28,6 +28,7 @@
  */
 internal class SoakSite(folder: Path, seed: Int) : AutoCloseable {
     private val loop = eventLoop("stand-ins")
+    private val watch = ProcessWatch(folder)
     val proxy: FaultProxy = startFaultProxy()
     val store = StoreStandIn(loop)
     val engines =
@@ -36,9 +37,9 @@
     val plainServers = listOf("d1", "d2").map { EngineStandIn(loop, it, "a") }
     val stutteringServers =
         listOf(
-            stutteringProcess("s1", "a", STUTTERING_ENGINE_SERVICE, seed),
-            stutteringProcess("s2", "a", STUTTERING_SERVICE, seed),
-            stutteringProcess("s3", "a", STUTTERING_SERVICE, seed)
+            stutteringProcess("s1", "a", STUTTERING_ENGINE_SERVICE, seed, watch),
+            stutteringProcess("s2", "a", STUTTERING_SERVICE, seed, watch),
+            stutteringProcess("s3", "a", STUTTERING_SERVICE, seed, watch)
         )
     val routers: List<RouterProcess>
     private val unresponsiveAddresses = java.util.concurrent.ConcurrentHashMap.newKeySet<String>()
@@ -68,12 +69,15 @@
                     store = listener(storeListener(index), store.address.toString()),
                     shutdownGraceS = GRACE_S
                 ),
-                folder
+                watch
             )
         }
         routers.forEach { it.start() }
     }
 
+    /** Describes each process that ended by itself, and each failure that one reported. */
+    fun processFailures(): List<String> = watch.failures()
+
     /** Name of the proxy's listener between the router at [index] and the store. */
     fun storeListener(index: Int): String = "store-$index"
 
@@ -97,9 +101,12 @@
         store.write("servers/${server.instanceId}", server.entry(service, state))
     }
 
+    /** Removes the entry of [server] from the store. */
+    fun leave(server: EngineStandIn) = store.delete("servers/${server.instanceId}")
+
     /** Writes the entry of [server] to the store, with the address of its listener at the proxy. */
     private fun register(server: ServerProcess) {
-        val address = ADDRESS.find(server.entry)!!.value
+        val address = server.address
         val entry = server.entry.replace(address, listener(server.instanceId, address))
         store.write("servers/${server.instanceId}", entry)
     }
@@ -140,6 +147,5 @@
         const val STUTTERING_SERVICE = "stuttering"
         const val STUTTERING_ENGINE_SERVICE = "stuttering-model"
         val ENGINE_ENTRY = Regex("""\{"name":"$ENGINE_SERVICE".*]}}""", RegexOption.DOT_MATCHES_ALL)
-        val ADDRESS = Regex("""[\d.]+:\d+""")
     }
 }
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SoakSpec.kt
@@ -15,18 +15,20 @@
  * Runs router processes under random faults, and checks the guarantees that callers get.
  *
  * `-Dsoak.seeds=5,6,7` selects other seeds, and `-Dsoak.seconds=30` injects faults for a longer
- * time.
+ * time. `-Dsoak.drain.seeds=5,6,7` plays the case in which servers drain.
  */
 class SoakSpec :
     DescribeSpec({
         describe("router processes under random faults from outside") {
-            seeds().forEach { seed ->
+            seeds("soak.seeds", "1,2").forEach { seed ->
                 // Guards against guarantees that hold under each single fault but not under
                 // several at once.
                 it("keep their guarantees to callers and serve again afterwards, seed $seed") {
-                    val folder = emptyFolder(seed)
+                    val folder = emptyFolder("seed-$seed")
                     SoakSite(folder, seed).use { site ->
-                        site.awaitService()
+                        withClue({ "$folder, processes ${site.processFailures()}" }) {
+                            site.awaitService()
+                        }
                         val faults = site.planAllFaults(seed)
                         val results = site.injectAll(faults, seed)
                         val served = results.count { it.status == 200 && it.isWhole }
@@ -37,8 +39,30 @@
                                 "${faults.size} faults"
                         )
                         withClue("$summary, logs in $folder, faults $faults") {
+                            site.processFailures().shouldBeEmpty()
                             site.awaitService()
                             guaranteeViolations(results, site).shouldBeEmpty()
+                            site.processFailures().shouldBeEmpty()
+                        }
+                    }
+                }
+            }
+            seeds("soak.drain.seeds", "").forEach { seed ->
+                // Guards against streams that leave a draining server that still serves them.
+                it("lose nothing while servers drain and all others pause, seed $seed") {
+                    val folder = emptyFolder("drain-$seed")
+                    SoakSite(folder, seed).use { site ->
+                        site.awaitService()
+                        val faults = planDrains(seed, site, lengthMs())
+                        val results = site.injectAll(faults, seed, 0, LONG_STREAM)
+                        val served = results.count { it.status == 200 && it.isWhole }
+                        println("soak drains, seed $seed: $served of ${results.size} served")
+                        withClue("logs in $folder, faults $faults") {
+                            site.processFailures().shouldBeEmpty()
+                            site.awaitService()
+                            guaranteeViolations(results, site).shouldBeEmpty()
+                            lostRequests(results, site.routers.map { it.log }).shouldBeEmpty()
+                            site.processFailures().shouldBeEmpty()
                         }
                     }
                 }
@@ -55,19 +79,23 @@
 
 /** Callers that call servers that stutter in quick succession, so connections are reused often. */
 private const val STUTTERING_CALLERS = 4
+
+/** Number of events from which on a stream is moved off a draining server. */
+private const val LONG_STREAM = 400
 private const val STUTTERING_CALL_PAUSE_MS = 5L
 private val STUTTERING_KINDS = CallKind.entries - CallKind.SOUND
 
-/** Returns a folder for the logs of [seed] that has no logs of a previous run. */
-private fun emptyFolder(seed: Int): Path {
-    val folder = LOGS.resolve("seed-$seed")
+/** Returns a folder for the logs of one seed that has no logs of a previous run. */
+private fun emptyFolder(name: String): Path {
+    val folder = LOGS.resolve(name)
     folder.toFile().deleteRecursively()
     return Files.createDirectories(folder)
 }
 
 // Seed 2 failed when a late copy of an answer gave its status to the next answer.
-private fun seeds(): List<Int> =
-    System.getProperty("soak.seeds", "1,2").split(',').map { it.trim().toInt() }
+private fun seeds(property: String, default: String): List<Int> =
+    System.getProperty(property, default).split(',').filter { it.isNotBlank() }
+        .map { it.trim().toInt() }
 
 private fun lengthMs(): Long = System.getProperty("soak.seconds", "10").toLong() * 1_000
 
@@ -91,14 +119,19 @@
 }
 
 /** Injects [faults] while callers send requests, and returns the results of the callers. */
-private fun SoakSite.injectAll(faults: List<PlannedFault>, seed: Int): List<CallResult> {
+private fun SoakSite.injectAll(
+    faults: List<PlannedFault>,
+    seed: Int,
+    stutteringCallers: Int = STUTTERING_CALLERS,
+    lengthHint: Int? = null
+): List<CallResult> {
     val results = CopyOnWriteArrayList<CallResult>()
     val startedAt = System.nanoTime()
     val endsAt = startedAt + (lengthMs() + RECOVERY_MS / 4) * 1_000_000
     val pool = Executors.newCachedThreadPool()
     fun call(number: Int, kinds: List<CallKind>, pauseMs: Long) {
         val random = Random(seed * CALLERS + number)
-        val caller = SoakCaller()
+        val caller = SoakCaller(lengthHint = lengthHint)
         var count = 0
         while (System.nanoTime() < endsAt) {
             val router = routers.random(random)
@@ -108,7 +141,7 @@
         }
     }
     repeat(CALLERS) { pool.execute { call(it, CallKind.SOUND, CALL_PAUSE_MS) } }
-    repeat(STUTTERING_CALLERS) {
+    repeat(stutteringCallers) {
         pool.execute { call(CALLERS + it, STUTTERING_KINDS, STUTTERING_CALL_PAUSE_MS) }
     }
     faults.forEach { planned ->
--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
@@ -8,6 +8,9 @@
 import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
+import kotlin.io.path.div
+import kotlin.io.path.readLines
+import kotlin.io.path.writeText
 import kotlin.random.Random
 import org.jacinthlink.router.RetryBudgetSettings
 import org.jacinthlink.router.RouterSettings
@@ -19,22 +22,33 @@
 
 /**
  * Server processes that are suspended for about a second and go on, while the configuration
- * changes. `-Dsuspended.seeds=5,6,7` selects other seeds.
+ * changes. `-Dsuspended.seeds=5,6,7` selects other seeds of the form that suspends few of them, and
+ * `-Dsuspended.crowded.seeds=5,6,7` those of the form that suspends most.
  */
 class SuspendedServerSpec :
     DescribeSpec({
         describe("requests beside suspended servers and changes of the configuration") {
-            seeds().forEach { seed ->
+            seeds("suspended.seeds", "1").forEachIndexed { run, seed ->
                 // Guards against requests that end with neither an answer nor a refusal.
-                it("each get a whole response, seed $seed") {
-                    SuspendedSite(seed).use { site ->
-                        site.awaitService()
-                        val results = site.disturb()
-                        val outcomes = results.groupingBy(::outcome).eachCount()
-                        println("suspended servers, seed $seed: $outcomes")
-                        results.count { it.status == 200 } shouldBeGreaterThan 0
-                        withClue("seed $seed, logs in $FOLDER") {
+                it("each get a whole response, seed $seed, run $run") {
+                    SuspendedSite(SuspendedForm.FEW, seed, run).use { site ->
+                        val results = site.play()
+                        withClue("seed $seed, logs in ${site.folder}") {
                             results.filter { it.status == null || !it.isWhole }.shouldBeEmpty()
+                            site.processFailures().shouldBeEmpty()
+                        }
+                    }
+                }
+            }
+            seeds("suspended.crowded.seeds", "").forEachIndexed { run, seed ->
+                // Guards against streams that are cut while a server works for them, and against
+                // requests that the router never reads, when most servers stand still at once.
+                it("each get what the servers that ran could give, seed $seed, run $run") {
+                    SuspendedSite(SuspendedForm.MOST, seed, run).use { site ->
+                        val results = site.play()
+                        withClue("seed $seed, logs in ${site.folder}") {
+                            site.unexplainedEnds(results).shouldBeEmpty()
+                            site.processFailures().shouldBeEmpty()
                         }
                     }
                 }
@@ -44,18 +58,32 @@
 
 private fun outcome(result: CallResult) = "${result.kind} ${result.status} ${result.isWhole}"
 
-private fun seeds(): List<Int> =
-    System.getProperty("suspended.seeds", "1").split(',').map { it.trim().toInt() }
+private fun seeds(property: String, default: String): List<Int> =
+    System.getProperty(property, default).split(',').filter { it.isNotBlank() }
+        .map { it.trim().toInt() }
+
+/**
+ * How hard the requests are disturbed.
+ *
+ * @property suspendedCounts Numbers of servers that are suspended at once.
+ */
+private enum class SuspendedForm(val callerCount: Int, val suspendedCounts: IntRange) {
+    FEW(24, 1..2),
+    MOST(60, 2..6)
+}
 
 /** A router process with servers in processes of their own, and the faults of one seed. */
-private class SuspendedSite(seed: Int) : AutoCloseable {
+private class SuspendedSite(private val form: SuspendedForm, private val seed: Int, run: Int) :
+    AutoCloseable {
     private val random = Random(seed)
+    val folder: Path = emptyFolder("${form.name.lowercase()}-$seed-$run")
+    private val watch = ProcessWatch(folder)
     private val loop = eventLoop("stand-ins")
     private val store = StoreStandIn(loop)
     private val engines =
         listOf("a1" to "a", "a2" to "a", "b1" to "b", "b2" to "b")
-            .map { (id, zone) -> serverProcess(id, zone, "model") }
-    private val plainServers = listOf("d1", "d2").map { serverProcess(it, "a", "desk") }
+            .map { (id, zone) -> serverProcess(id, zone, "model", watch) }
+    private val plainServers = listOf("d1", "d2").map { serverProcess(it, "a", "desk", watch) }
     private val servers = engines + plainServers
     private val changes = ConfigurationChanges()
     private val router: RouterProcess
@@ -77,12 +105,32 @@
                 // Streams that leave a server use the budget up, so later ones have to stay.
                 retryBudget = RetryBudgetSettings(ratio = 0.0, extra = 20.0)
             )
-        router = RouterProcess(settings, Files.createDirectories(FOLDER))
+        router = RouterProcess(settings, watch)
         router.start()
     }
 
+    /** Describes each process that ended by itself, and each failure that one reported. */
+    fun processFailures(): List<String> = watch.failures()
+
+    /** Describes each request without a whole response that the suspensions do not explain. */
+    fun unexplainedEnds(results: List<CallResult>): List<String> {
+        Thread.sleep(LOG_DELAY_MS)
+        val suspensionsMs = engines.associate { it.address to it.suspensionsMs.toList() }
+        (folder / "suspensions.txt").writeText(suspensionsMs.toString())
+        return unexplainedEnds(results, router.log.readLines(), suspensionsMs, CALL_DEADLINE_MS)
+    }
+
+    /** Sends requests while servers are suspended, and returns the results. */
+    fun play(): List<CallResult> {
+        awaitService()
+        val results = disturb()
+        println("$form, seed $seed: ${results.groupingBy(::outcome).eachCount()}")
+        results.count { it.status == 200 } shouldBeGreaterThan 0
+        return results
+    }
+
     /** Waits until the router serves each kind of request. */
-    fun awaitService() {
+    private fun awaitService() {
         val caller = SoakCaller(CALL_DEADLINE_MS)
         CallKind.SOUND.forEach { kind ->
             var number = 0
@@ -93,10 +141,10 @@
     }
 
     /** Suspends servers and changes the configuration while callers send requests. */
-    fun disturb(): List<CallResult> {
+    private fun disturb(): List<CallResult> {
         val results = CopyOnWriteArrayList<CallResult>()
         val endsAtNanos = System.nanoTime() + LENGTH_MS * NANOS_PER_MS
-        val callers = List(CALLERS) { number ->
+        val callers = List(form.callerCount) { number ->
             thread {
                 val caller = SoakCaller(CALL_DEADLINE_MS)
                 var count = 0
@@ -112,9 +160,9 @@
         return results
     }
 
-    /** Suspends one or two servers, and changes the configuration a moment before or after. */
+    /** Suspends servers, and changes the configuration a moment before or after. */
     private fun suspendOne() {
-        val suspended = servers.shuffled(random).take(1 + random.nextInt(2)).map {
+        val suspended = servers.shuffled(random).take(form.suspendedCounts.random(random)).map {
             val durationMs = random.nextLong(MIN_SILENCE_MS, MAX_SILENCE_MS)
             thread { it.suspendFor(durationMs) }
         }
@@ -156,11 +204,18 @@
             .replace("\"routes\":", "$limits\"routes\":")
 }
 
-private val FOLDER = Path.of("target", "suspended")
+/** Returns a folder for the logs of one run that has no logs of a previous one. */
+private fun emptyFolder(name: String): Path {
+    val folder = Path.of("target", "suspended", name)
+    folder.toFile().deleteRecursively()
+    return Files.createDirectories(folder)
+}
+
+/** The router has written its log to the file after this time. */
+private const val LOG_DELAY_MS = 1_500L
 private const val NANOS_PER_MS = 1_000_000L
 private const val START_MS = 20_000L
 private const val LENGTH_MS = 12_000L
-private const val CALLERS = 24
 private const val CALL_PAUSE_MS = 30L
 
 /** Longer than a stream takes, with two silences in it. */
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -116,6 +116,7 @@
     /** Number of crashes. */
     val crashCount = java.util.concurrent.atomic.AtomicInteger()
 
+    @Volatile
     private var bornAtMs = 1L
 
     /** Highest fencing token of the orders received so far. */
@@ -149,6 +150,12 @@
             "slots":134,"kind":"card","sequence":1,"born":$bornAtMs${held.orEmpty()}}"""
     }
 
+    /** Begins a new life at the same address, as a server that takes the place of this one. */
+    fun beginAnew() {
+        layers = null
+        bornAtMs++
+    }
+
     private fun handle(request: ServerRequest, exchange: ServerExchange) =
         silence.runAfter { answer(request, exchange) }
 
@@ -225,8 +232,7 @@
         loop.schedule(eventIntervalMs) {
             crashCount.incrementAndGet()
             listener.stop()
-            layers = null
-            bornAtMs++
+            beginAnew()
             thread { restart() }
         }
     }
