Let a kept connection forget the request that opened it

Callers saw connections that closed without an answer beside a burst of long bodies: the heap filled although few requests were under way.

Cause: the decoder of a connection named the server by the first call (onSurplus), and so kept that call for as long as the connection lived: its body, its exchange and its relay. The connection now keeps the address alone.

HttpClientSpec, "does not keep the body of the request that opened it": failed before (10 s, the body was never freed), passes now; 15 cases pass.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -60,8 +60,10 @@
 
     private fun connect(call: ConnectionCall) {
         val input = InputEndHandler()
-        val decoder = StrictResponseDecoder { onSurplus(call.request.address, it) }
-        val connection = ClientConnection(call.request.address, this, input, decoder)
+        // The connection outlives its first call, and must not keep the body of its request.
+        val address = call.request.address
+        val decoder = StrictResponseDecoder { onSurplus(address, it) }
+        val connection = ClientConnection(address, this, input, decoder)
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import java.lang.ref.WeakReference
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
@@ -192,6 +193,25 @@
                 get(address).outcome() shouldBe "200 ok complete"
             }
 
+            // Guards against a heap that fills with the bodies of requests that have ended.
+            it("does not keep the body of the request that opened it") {
+                val address = server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                fun send(): WeakReference<ByteArray> {
+                    val body = ByteArray(1_000)
+                    val fields = listOf(HeaderField("Host", "h"))
+                    val listener = RecordingListener()
+                    val request = ClientRequest(address, "POST", "/", fields, body)
+                    loop.call { client.send(request, listener) }
+                    listener.outcome() shouldBe "200  complete"
+                    return WeakReference(body)
+                }
+                val body = send()
+                await {
+                    System.gc()
+                    body.get() == null
+                }
+            }
+
             it("that is closed while idle is not reused") {
                 val address =
                     server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") { it.close() }
