Bound the bytes of all requests in memory

Bodies may take a third of the heap, those over 16 KB seven eighths of that, so that short requests get through. Beyond it a request is refused at once with 503 and Retry-After (cause "memory"); the rest of its body is read and dropped, and its connection serves the next one. If the connection closes anyway, the body is read first. Bytes count as they arrive. A body waits in blocks of up to 16 KB and is joined once; before, a buffer that doubles and its copy were both kept until the answer. Reading pauses also at 65,536 queued bytes; no way was found on which it isn't resumed.

A write that fails now closes its connection.

--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -44,6 +44,9 @@
         }
     }
 
+    override fun refuse(request: ServerRequest, exchange: ServerExchange) =
+        refuse(requestInfo(request), exchange, UNAVAILABLE, "memory", null, RETRY_AFTER_MS)
+
     /** Rejects further requests; requests in progress continue. */
     fun close() {
         isClosed = true
--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -197,6 +197,7 @@
             gauge("jacinthlink.store.calls") { store.callCount }
             gauge("jacinthlink.servers.limited") { throttle.limits.limited(clockMs()).size }
             gauge("jacinthlink.contents.rejected") { quarantine.contents.harmful(clockMs()).size }
+            registerMemoryGauges(listeners.memory, http.responseMemory)
             registerStateGauges(configuration, servers, failureDetector)
         }
     }
@@ -222,7 +223,6 @@
         SettingsWatcher(file, loop, log) { settings = it }.start()
     }
 
-    /** False once the event loop has ended. */
     val isWorking: Boolean get() = loop.isRunning
 
     /** Closes all sockets immediately. */
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterListeners.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterListeners.kt
@@ -5,9 +5,11 @@
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.HeaderField
 import org.jacinthlink.transport.HttpListener
+import org.jacinthlink.transport.RequestMemory
 import org.jacinthlink.transport.ServerHandler
 import org.jacinthlink.transport.ServerLimits
 import org.jacinthlink.transport.listen
+import org.jacinthlink.transport.requestMemory
 
 /**
  * The listening sockets of a router: for client requests, readiness checks, snapshots of peers and
@@ -27,6 +29,8 @@
     isReady: () -> Boolean,
     metrics: () -> String
 ) {
+    /** Memory for the requests of all listeners. */
+    val memory: RequestMemory = requestMemory()
     private val clients = open(checkedAddress(settings.clients), requests)
     private val readiness =
         open(checkedAddress(settings.readiness)) { _, exchange ->
@@ -57,7 +61,7 @@
     fun closeIdle() = clients.closeIdle()
 
     private fun open(address: Address, handler: ServerHandler): HttpListener =
-        listen(loop, address, limits, handler)
+        listen(loop, address, limits, memory, handler)
 
     private companion object {
         const val OK = 200
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -8,6 +8,8 @@
 import org.jacinthlink.router.relay.FailureDetector
 import org.jacinthlink.router.state.ConfigurationCache
 import org.jacinthlink.router.state.ServerRegistry
+import org.jacinthlink.transport.RequestMemory
+import org.jacinthlink.transport.ResponseMemory
 
 /**
  * Counters, histograms and gauges of a router, exported as Prometheus text.
@@ -71,6 +73,13 @@
         gauge("jacinthlink.configuration.version") { configuration.current?.version ?: -1 }
     }
 
+    /** Registers gauges of the bytes that requests and answers take. */
+    fun registerMemoryGauges(requests: RequestMemory, answers: ResponseMemory) {
+        gauge("jacinthlink.request.bytes") { requests.requestBytes }
+        gauge("jacinthlink.answer.unsent.bytes") { requests.answerBytes }
+        gauge("jacinthlink.answer.read.bytes") { answers.usedBytes }
+    }
+
     /** All metrics in the Prometheus text format; empty before [open]. */
     fun text(): String = meters?.text().orEmpty()
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -13,10 +14,12 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.IOException
 
 /** Sends a response on a Netty channel, which stays open for further requests if [isKeepAlive]. */
 internal class ChannelExchange(
     private val channel: Channel,
+    private val memory: RequestMemory,
     private val isKeepAlive: () -> Boolean,
     private val onFinished: (staysOpen: Boolean) -> Unit
 ) : ServerExchange {
@@ -48,7 +51,7 @@
             )
         prepare(response, headers)
         HttpUtil.setContentLength(response, body.size.toLong())
-        finish(response)
+        finish(response, body.size)
     }
 
     override fun startStream(status: Int, headers: List<HeaderField>) {
@@ -58,15 +61,16 @@
         prepare(response, headers)
         hasStarted = true
         HttpUtil.setTransferEncodingChunked(response, true)
-        channel.write(response)
+        watched(channel.write(response), 0)
     }
 
     override fun write(part: ByteArray) {
-        if (isOpen) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part)))
+        if (!isOpen) return
+        watched(channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part))), part.size)
     }
 
     override fun endStream() {
-        if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT, 0)
     }
 
     override fun abort() {
@@ -100,10 +104,25 @@
         }
     }
 
-    private fun finish(last: Any) {
+    private fun finish(last: Any, bytes: Int) {
         isEnded = true
-        val written = channel.writeAndFlush(last)
+        val written = watched(channel.writeAndFlush(last), bytes)
         if (!staysOpen) written.addListener(ChannelFutureListener.CLOSE)
         onFinished(staysOpen)
     }
+
+    /**
+     * Counts [bytes] until [written] has ended. If it fails, the connection closes, so that
+     * no client ever waits for the rest of an answer.
+     */
+    private fun watched(written: ChannelFuture, bytes: Int): ChannelFuture {
+        memory.addAnswer(bytes.toLong())
+        return written.addListener {
+            memory.addAnswer(-bytes.toLong())
+            if (!it.isSuccess) {
+                if (it.cause() !is IOException) reportFailure("answer", it.cause())
+                channel.close()
+            }
+        }
+    }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -61,11 +61,13 @@
  *
  * @param limits Read whenever a limit is checked, so that a change applies at once. Only
  *   [ServerLimits.maxHeaderBytes] is read once for each connection.
+ * @param memory Bounds the bytes of all requests, together with other servers that use it.
  */
 fun listen(
     loop: EventLoop,
     address: Address,
     limits: () -> ServerLimits,
+    memory: RequestMemory,
     handler: ServerHandler
 ): HttpListener {
     val connections = mutableSetOf<ServerConnection>()
@@ -75,7 +77,7 @@
             override fun initChannel(channel: SocketChannel) {
                 val currentLimits = limits()
                 val connection =
-                    ServerConnection(loop, channel, limits, handler, connections, pauses)
+                    ServerConnection(loop, channel, limits, memory, handler, connections, pauses)
                 channel.pipeline().addLast(
                     ReadActivityHandler(connection),
                     StrictRequestDecoder(currentLimits.maxHeaderBytes),
@@ -97,6 +99,14 @@
     return HttpListener(loop, channel, connections, pauses)
 }
 
+/** Starts a server on [address] with memory of its own. */
+fun listen(
+    loop: EventLoop,
+    address: Address,
+    limits: () -> ServerLimits,
+    handler: ServerHandler
+): HttpListener = listen(loop, address, limits, requestMemory(), handler)
+
 /** Milliseconds of the monotonic clock. */
 internal fun monotonicMs(): Long = System.nanoTime() / NANOS_PER_MS
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ResponseBuffer.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ResponseBuffer.kt
@@ -12,7 +12,9 @@
     private val maxBytes: Int,
     private val maxTotalBytes: Int
 ) {
-    private var usedBytes = 0
+    /** Bytes of all bodies that are being read. */
+    var usedBytes = 0
+        private set
 
     /** Creates a buffer for one body. */
     fun buffer(): ResponseBuffer = ResponseBuffer(this)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /**
@@ -21,18 +20,21 @@
  *
  * It handles one request at a time. Further requests that arrive in the meantime are queued until
  * the current response has ended. After a response that closes the connection, none is handled.
+ *
+ * A request for which there is no memory is refused at once, and the rest of its body is dropped.
  */
 internal class ServerConnection(
     private val loop: EventLoop,
     private val channel: Channel,
     private val limits: () -> ServerLimits,
+    private val memory: RequestMemory,
     private val handler: ServerHandler,
     private val connections: MutableSet<ServerConnection>,
     private val pauses: PauseDetector
 ) : ChannelInboundHandlerAdapter() {
-    private val queuedMessages = ArrayDeque<Any>()
+    private val queue = MessageQueue(memory)
     private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
+    private val body = RequestBody(memory)
     private var exchange: ChannelExchange? = null
     private var requestStartedAtMs: Long? = null
     private var idleSinceMs = monotonicMs()
@@ -45,6 +47,12 @@
     private var isClosing = false
     private var isAcceptingQueued = false
 
+    /** Bytes of a refused body that have been dropped, or null if none is being read. */
+    private var droppedBytes: Long? = null
+
+    /** The refusal of the body that is being dropped, if it is still to be sent. */
+    private var lateRefusal: (() -> Unit)? = null
+
     /** True while a request is being read or answered. */
     val isBusy: Boolean get() = exchange != null || requestStartedAtMs != null
 
@@ -54,10 +62,11 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         connections.remove(this)
-        queuedMessages.forEach { ReferenceCountUtil.release(it) }
-        queuedMessages.clear()
+        queue.clear()
         exchange?.clientClosed()
         exchange = null
+        head = null
+        body.release()
     }
 
     /** A reset closes the connection like a regular close; Netty then calls [channelInactive]. */
@@ -114,8 +123,8 @@
     }
 
     private fun enqueue(msg: Any) {
-        queuedMessages.addLast(msg)
-        if (queuedMessages.size >= MAX_QUEUED_MESSAGES) channel.config().isAutoRead = false
+        queue.add(msg)
+        if (queue.isFull || queue.isMemoryFull) channel.config().isAutoRead = false
     }
 
     private fun accept(msg: Any) {
@@ -136,37 +145,73 @@
             fault != null || !request.hasOneHost() -> refuse(BAD_REQUEST)
             else -> {
                 head = request
-                body = ByteArrayOutputStream()
-                if (HttpUtil.is100ContinueExpected(request)) sendContinue()
+                val bytes = HttpUtil.getContentLength(request, 0L)
+                if (bytes > 0) body.expect(bytes)
+                when {
+                    !memory.admits(bytes, bytes) -> refuseForMemory(request)
+                    HttpUtil.is100ContinueExpected(request) -> sendContinue()
+                }
             }
         }
     }
 
     private fun append(content: HttpContent) {
-        val request = head ?: return
-        if (content.decoderResult().isFailure) return refuse(BAD_REQUEST)
         val bytes = content.content()
-        if (body.size() + bytes.readableBytes() > limits().maxBodyBytes) {
-            return refuse(BODY_TOO_LARGE)
+        val dropped = droppedBytes
+        val request = head
+        val isTooLarge = (dropped ?: body.size.toLong()) + bytes.readableBytes() > maxBodyBytes
+        when {
+            dropped == null && request == null -> Unit
+            content.decoderResult().isFailure -> refuse(BAD_REQUEST)
+            isTooLarge -> refuse(BODY_TOO_LARGE)
+            dropped != null -> drop(content, dropped)
+            request == null -> Unit
+            !body.append(bytes) -> {
+                refuseForMemory(request)
+                if (!isClosing) drop(content, 0)
+            }
+            content is LastHttpContent -> dispatch(request)
         }
-        bytes.readBytes(body, bytes.readableBytes())
-        if (content is LastHttpContent) dispatch(request)
+    }
+
+    private val maxBodyBytes: Int get() = limits().maxBodyBytes
+
+    /**
+     * Refuses [request] at once. If its connection will close, its body is read before, because
+     * bytes that arrive after the close would reset the connection before the refusal is read. A
+     * client that waits for leave to send its body sends none after a refusal.
+     */
+    private fun refuseForMemory(request: HttpRequest) {
+        head = null
+        body.release()
+        val awaitsLeave = HttpUtil.is100ContinueExpected(request)
+        val keepAlive = HttpUtil.isKeepAlive(request) && !awaitsLeave
+        if (awaitsLeave) requestStartedAtMs = null else droppedBytes = 0
+        val refusal = {
+            val next = ChannelExchange(channel, memory, { keepAlive && !isDraining }, ::finished)
+            exchange = next
+            handler.refuseGuarded(request.toServerRequest(ByteArray(0)), next)
+        }
+        if (awaitsLeave || keepAlive && !isDraining) refusal() else lateRefusal = refusal
+    }
+
+    private fun drop(content: HttpContent, dropped: Long) {
+        droppedBytes = dropped + content.content().readableBytes()
+        if (content !is LastHttpContent) return
+        droppedBytes = null
+        requestStartedAtMs = null
+        idleSinceMs = monotonicMs()
+        lateRefusal?.invoke()
+        lateRefusal = null
     }
 
     private fun dispatch(request: HttpRequest) {
         head = null
         requestStartedAtMs = null
         val keepAlive = HttpUtil.isKeepAlive(request)
-        val next = ChannelExchange(channel, { keepAlive && !isDraining }, ::finished)
+        val next = ChannelExchange(channel, memory, { keepAlive && !isDraining }, ::finished)
         exchange = next
-        val serverRequest =
-            ServerRequest(
-                request.method().name(),
-                request.uri(),
-                request.headers().map { HeaderField(it.key, it.value) },
-                body.toByteArray(),
-                System.currentTimeMillis()
-            )
+        val serverRequest = request.toServerRequest(body.take())
         if (pauses.isCatchingUp(monotonicMs())) {
             // The end of the connection is read after the request.
             loop.executeAfterRead { if (next.isOpen) handler.handleGuarded(serverRequest, next) }
@@ -177,12 +222,13 @@
 
     private fun finished(staysOpen: Boolean) {
         exchange = null
+        body.release()
         idleSinceMs = monotonicMs()
         idleTimeoutMs = limits().idleTimeoutMs
         if (!staysOpen) isClosing = true
         if (isClosing || !channel.isActive) return
         acceptQueued()
-        if (queuedMessages.size < MAX_QUEUED_MESSAGES) channel.config().isAutoRead = true
+        if (!queue.isFull) channel.config().isAutoRead = true
     }
 
     /** Does nothing if it is called for the response to a request that it has just accepted. */
@@ -190,8 +236,8 @@
         if (isAcceptingQueued) return
         isAcceptingQueued = true
         try {
-            while (exchange == null && !isClosing && queuedMessages.isNotEmpty()) {
-                accept(queuedMessages.removeFirst())
+            while (exchange == null && !isClosing && !queue.isEmpty) {
+                accept(queue.take())
             }
         } finally {
             isAcceptingQueued = false
@@ -199,10 +245,15 @@
     }
 
     private fun refuse(status: Int) {
+        // The request has its refusal already.
+        if (droppedBytes != null && lateRefusal == null) return close()
         head = null
+        body.release()
+        droppedBytes = null
+        lateRefusal = null
         requestStartedAtMs = null
         isClosing = true
-        ChannelExchange(channel, { false }, {}).respond(status, emptyList(), ByteArray(0))
+        ChannelExchange(channel, memory, { false }, {}).respond(status, emptyList(), ByteArray(0))
     }
 
     private fun sendContinue() {
@@ -218,7 +269,6 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
-        const val MAX_QUEUED_MESSAGES = 64
 
         /**
          * An idle connection stays open for this time beyond the idle limit, because a request that
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
@@ -1,5 +1,7 @@
 package org.jacinthlink.transport
 
+import io.netty.handler.codec.http.HttpRequest
+
 /**
  * A request that a server has read completely.
  *
@@ -17,6 +19,16 @@
     val path: String get() = target.substringBefore('?')
 }
 
+/** The request with this head and [body], which has just arrived. */
+internal fun HttpRequest.toServerRequest(body: ByteArray) =
+    ServerRequest(
+        method().name(),
+        uri(),
+        headers().map { HeaderField(it.key, it.value) },
+        body,
+        System.currentTimeMillis()
+    )
+
 /** Sends the response to one request. It must be used on the event loop only. */
 interface ServerExchange {
     /** False once the client has closed the connection or the response has ended. */
@@ -68,8 +80,25 @@
         }
     }
 
+    /**
+     * Refuses [request], which has not been read completely because there is no memory for it. Its
+     * body is empty. The response must be sent before this returns.
+     */
+    fun refuse(request: ServerRequest, exchange: ServerExchange) = exchange.fail(UNAVAILABLE)
+
+    /** Refuses [request] in any case. */
+    fun refuseGuarded(request: ServerRequest, exchange: ServerExchange) {
+        try {
+            refuse(request, exchange)
+        } catch (e: Exception) {
+            reportFailure("refusal of ${request.method} ${request.path}", e)
+        }
+        if (exchange.isOpen) exchange.fail(UNAVAILABLE)
+    }
+
     private companion object {
         const val INTERNAL_ERROR = 500
+        const val UNAVAILABLE = 503
     }
 }
 
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpListenerSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpListenerSpec.kt
@@ -68,6 +68,18 @@
                 handled shouldBe listOf("/before", "/waits")
             }
 
+            // Guards against a client that waits for ever behind a head, because a part of its
+            // answer could not be written.
+            it("closes the connection of an answer that could not be written") {
+                val address = server { _, exchange ->
+                    exchange.startStream(200, emptyList())
+                    // The encoder takes no second head before the end of the first answer.
+                    exchange.startStream(200, emptyList())
+                }
+                val socket = address.connectAndSend("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                socket.readAll() shouldNotContain "0\r\n\r\n"
+            }
+
             // Guards against a request that gets neither an answer nor a refusal because its
             // handler fails, for example by a value of a new configuration.
             it("answers a request whose handler fails with 500") {
