--- a/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RequestRouter.kt
@@ -49,6 +49,9 @@
     /** Age of the oldest request without an outcome; 0 if there is none. */
     val oldestAgeMs: Long get() = guard.oldestAgeMs
 
+    override fun refuse(request: ServerRequest, exchange: ServerExchange) =
+        refuse(requestInfo(request), exchange, UNAVAILABLE, "memory", null, RETRY_AFTER_MS)
+
     /** Rejects further requests; requests in progress continue. */
     fun close() {
         isClosed = true
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChannelExchange.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.IOException
 
 /**
  * Sends a response on a Netty channel, which stays open for further requests if [isKeepAlive].
@@ -22,6 +23,7 @@
  */
 internal class ChannelExchange(
     private val channel: Channel,
+    private val memory: RequestMemory,
     private val isKeepAlive: () -> Boolean,
     private val onFinished: (staysOpen: Boolean, written: ChannelFuture) -> Unit
 ) : ServerExchange {
@@ -53,7 +55,7 @@
             )
         prepare(response, headers)
         HttpUtil.setContentLength(response, body.size.toLong())
-        finish(response)
+        finish(response, body.size)
     }
 
     override fun startStream(status: Int, headers: List<HeaderField>) {
@@ -63,15 +65,16 @@
         prepare(response, headers)
         hasStarted = true
         HttpUtil.setTransferEncodingChunked(response, true)
-        channel.write(response)
+        watched(channel.write(response), 0)
     }
 
     override fun write(part: ByteArray) {
-        if (isOpen) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part)))
+        if (!isOpen) return
+        watched(channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(part))), part.size)
     }
 
     override fun endStream() {
-        if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT, 0)
     }
 
     override fun abort() {
@@ -112,8 +115,23 @@
         }
     }
 
-    private fun finish(last: Any) {
+    private fun finish(last: Any, bytes: Int) {
         isEnded = true
-        onFinished(staysOpen, channel.writeAndFlush(last))
+        onFinished(staysOpen, watched(channel.writeAndFlush(last), bytes))
+    }
+
+    /**
+     * Counts [bytes] until [written] has ended. If it fails, the connection closes, so that
+     * no client ever waits for the rest of an answer.
+     */
+    private fun watched(written: ChannelFuture, bytes: Int): ChannelFuture {
+        memory.addAnswer(bytes.toLong())
+        return written.addListener {
+            memory.addAnswer(-bytes.toLong())
+            if (!it.isSuccess) {
+                if (it.cause() !is IOException) reportFailure("answer", it.cause())
+                channel.close()
+            }
+        }
     }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerRequest.kt
@@ -75,8 +75,25 @@
         }
     }
 
+    /**
+     * Refuses [request], which has not been read completely because there is no memory for it. Its
+     * body is empty. The response must be sent before this returns.
+     */
+    fun refuse(request: ServerRequest, exchange: ServerExchange) = exchange.fail(UNAVAILABLE)
+
+    /** Refuses [request] in any case. */
+    fun refuseGuarded(request: ServerRequest, exchange: ServerExchange) {
+        try {
+            refuse(request, exchange)
+        } catch (e: Exception) {
+            reportFailure("refusal of ${request.method} ${request.path}", e)
+        }
+        if (exchange.isOpen) exchange.fail(UNAVAILABLE)
+    }
+
     private companion object {
         const val INTERNAL_ERROR = 500
+        const val UNAVAILABLE = 503
     }
 }
 
