Deliver a server's error answer at the deadline

Callers of a plain route got a 504 of this router at their deadline, although one of two servers had answered with an error long before and only the other had not.

Cause: the error that is kept for later was delivered in place of a 502 only.

It is delivered in place of a 504 too. There is none with a 503, which says that no server has run the request.

Evidence: OpenAttemptsSpec, "gets this answer at its deadline when the first server has not answered": 504 without this change, with it the server's 500 and its text.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/PlainRelay.kt
@@ -191,7 +191,7 @@
 
     private fun finish(status: Int, retryAfterMs: Long?, cause: String) {
         val failure = lastFailure
-        if (status == BAD_GATEWAY && failure != null) return deliver(failure)
+        if (status != UNAVAILABLE && failure != null) return deliver(failure)
         close()
         context.metrics.ended("plain", status, cause)
         context.log.event(
--- a/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/OpenAttemptsSpec.kt
@@ -133,6 +133,21 @@
                     answer shouldEndWith EngineStandIn.FAILURE
                 }
             }
+
+            // Guards against an answer that is thrown away at the deadline.
+            it("gets this answer at its deadline when the first server has not answered") {
+                RouterFixture().use { fixture ->
+                    fixture.awaitLayers()
+                    val servers = fixture.plainServers
+                    servers.forEach { it.workMs = 10_000 }
+                    val answer = fixture.open("/safe/x", "plain").use { socket ->
+                        await { servers.any { it.runs.isNotEmpty() } }
+                        servers.first { it.runs.isEmpty() }.script = Script.Fail
+                        socket.getInputStream().readAllBytes().decodeToString()
+                    }
+                    answer shouldEndWith EngineStandIn.FAILURE
+                }
+            }
         }
     })
 
