--- a/router/src/test/kotlin/org/jacinthlink/router/FailedSuccessorSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/FailedSuccessorSpec.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.router.standins.EngineStandIn.Script
 import org.jacinthlink.router.standins.RouterFixture
 import org.jacinthlink.router.standins.await
+import org.jacinthlink.router.standins.configuration
 
 /** Streams that are to leave a draining server, for one that fails in some way. */
 class FailedSuccessorSpec :
@@ -20,6 +21,28 @@
 
         fun RouterFixture.others(first: EngineStandIn) = engines.filter { it !== first }
 
+        /** A fixture each of whose engines is a path by itself. */
+        fun fourPaths(): RouterFixture =
+            RouterFixture(EVENTS, EVENT_INTERVAL_MS, isConfigured = false).also {
+                val text =
+                    configuration()
+                        .replace("\"maxAttempts\":2", "\"maxAttempts\":4")
+                        .replace("\"layers\":8", "\"layers\":1")
+                it.store.write("op/config", text)
+                it.awaitPaths()
+            }
+
+        /** Waits until the stream is open at two servers, the draining one first. */
+        fun RouterFixture.moving(): List<EngineStandIn> {
+            await { engines.any { it.runs.isNotEmpty() } }
+            Thread.sleep(BEGUN_MS)
+            val first = engines.first { it.runs.isNotEmpty() }
+            others(first).forEach { it.script = Script.Stalled(0) }
+            drain(first)
+            await { others(first).any { it.runs.isNotEmpty() } }
+            return listOf(first, others(first).first { it.runs.isNotEmpty() })
+        }
+
         describe("a stream whose server is draining") {
             val failures =
                 mapOf(
@@ -55,6 +78,34 @@
                 }
             }
 
+            it("is whole if both servers are lost at once") {
+                fourPaths().use { fixture ->
+                    val answer =
+                        fixture.open("/s/x", "stream", extraHeaders = LONG_STREAM).use {
+                            val open = fixture.moving()
+                            fixture.engines.forEach { it.script = Script.Serve }
+                            open.forEach { it.stop() }
+                            it.getInputStream().readAllBytes().decodeToString()
+                        }
+                    ids(answer) shouldBe (1..EVENTS).toList()
+                    answer shouldEndWith "0\r\n\r\n"
+                }
+            }
+
+            it("is cancelled at both servers at its deadline") {
+                RouterFixture(ENDLESS_EVENTS, EVENT_INTERVAL_MS).use { fixture ->
+                    fixture.awaitPaths()
+                    fixture.open("/s/x", "stream", extraHeaders = LONG_STREAM).use {
+                        fixture.moving()
+                        it.getInputStream().readAllBytes()
+                    }
+                    await(LEFT_MS) {
+                        fixture.engines.sumOf { it.cancelledCount.get() } ==
+                            fixture.engines.sumOf { it.runs.size }
+                    }
+                }
+            }
+
             it("is cancelled at both servers when its caller leaves") {
                 RouterFixture(EVENTS, EVENT_INTERVAL_MS).use { fixture ->
                     fixture.awaitPaths()
@@ -74,6 +125,7 @@
     })
 
 private const val EVENTS = 60
+private const val ENDLESS_EVENTS = 200
 private const val EVENT_INTERVAL_MS = 40L
 
 /** A stream that is expected to last longer than a draining server serves. */
