Keep a stage that is merely late while no other copy is left

Callers saw streams end as failed although all stages lived: for a second, no copy of some layers answered in time.

Cause: the head excludes a stage after one unanswered probe, and a stage the next one after a message that was unanswered twice. Once all copies of the same layers were excluded, the head ended the stream, although each of them still had its state and went on soon.

Now a copy that may be merely late is trusted again when no other one is left: the route goes into force once more under a new epoch, which makes the stage before send again; what had arrived is refused as a duplicate. This goes on for five seconds without a token. A stage counts as lost, as before, if it reports itself, is not ready, or no message reaches it; without a replacement, its streams still end at once (PipelineSpec, "without a replacement").

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Failover.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Failover.kt
@@ -15,11 +15,16 @@
     private val clock: Clock,
     private val events: EventLog
 ) {
-    /** Begins to replace [stages] in the route of [key], or adds them to a failover in progress. */
-    fun begin(key: StreamKey, stages: Set<InstanceId>) {
+    /**
+     * Begins to replace [stages] in the route of [key], or adds them to a failover in progress.
+     *
+     * A stage is kept while no other copy of it is left, unless it is among [lost].
+     */
+    fun begin(key: StreamKey, stages: Set<InstanceId>, lost: Set<InstanceId>) {
         val begins =
             head.withRunning(key) { stream ->
                 stream.failed += stages
+                stream.lost += lost
                 val isAffected = stream.route.any { it.instance in stream.failed }
                 (isAffected && !stream.isFailingOver).also { if (it) stream.isFailingOver = true }
             }
@@ -71,13 +76,23 @@
             return RouteChange.None
         }
         if (old.first().instance in stream.failed) return RouteChange.Impossible
-        val route = head.replaceFailed(stream) ?: return RouteChange.Impossible
+        val route = head.replaceFailed(stream) ?: return keepLate(stream)
         stream.takeRoute(route, clock.nowMs())
         return RouteChange.Changed(stream.epoch, route, failed.maxOrNull() ?: route.size)
     }
 
+    // All stages learn the route again, so that the one before a late stage sends to it once more.
+    private fun keepLate(stream: HeadStream): RouteChange {
+        val nowMs = clock.nowMs()
+        val route = if (stream.keepLate(nowMs)) head.replaceFailed(stream) else null
+        if (route == null) return RouteChange.Impossible
+        stream.takeRoute(route, nowMs)
+        return RouteChange.Changed(stream.epoch, route, route.size, isLate = true)
+    }
+
     // Returns false if the stream ended.
     private fun apply(key: StreamKey, change: RouteChange.Changed): Boolean {
+        if (change.isLate) Thread.sleep(LATE_PAUSE_MS)
         val stages = change.route.map { it.toRouteStage() }
         when (val result = rerouter.apply(key, change.epoch, stages, change.informedStages)) {
             RerouteResult.Applied -> Unit
@@ -87,9 +102,17 @@
             }
             is RerouteResult.Unreachable -> {
                 if (result.stage == self) return false
-                head.withRunning(key) { it.failed += result.stage }
+                head.withRunning(key) {
+                    it.failed += result.stage
+                    if (result.isLost) it.lost += result.stage
+                }
             }
         }
         return true
     }
+
+    private companion object {
+        // Pause before a late stage is asked again.
+        const val LATE_PAUSE_MS = 100L
+    }
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Head.kt
@@ -3,7 +3,6 @@
 import java.util.concurrent.Executor
 import org.jacinthlink.api.HopBatch
 import org.jacinthlink.api.HopStatus
-import org.jacinthlink.api.InstanceId
 import org.jacinthlink.api.LoadReport
 import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.ResultCode
@@ -39,9 +38,9 @@
 ) : StreamHead {
     private val lock = Any()
 
-    /** Handles stages that failed. Set once, before the first message. */
+    /** Handles a stage of a stream that failed. Set once, before the first message. */
     @Volatile
-    var onStagesFailed: (StreamKey, Set<InstanceId>) -> Unit = { _, _ -> }
+    var onStageFailed: (StreamKey, StageFault) -> Unit = { _, _ -> }
 
     @Volatile
     private var draining = false
@@ -193,7 +192,7 @@
                 isAffected != true -> Unit
                 fault.backendServerCrashed -> end(key, crashed(fault), "backend_server_crashed")
                 fault.stage == self.instance -> end(key, failed(fault.message), "stage_failed")
-                else -> onStagesFailed(key, setOf(fault.stage))
+                else -> onStageFailed(key, fault)
             }
         }
     }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/HeadStream.kt
@@ -28,6 +28,10 @@
     val visited = LinkedHashMap<InstanceId, String>()
     private val leftAtMs = HashMap<InstanceId, Long>()
     val failed = HashSet<InstanceId>()
+
+    /** Those of [failed] that have lost this stream for certain; the others may be merely late. */
+    val lost = HashSet<InstanceId>()
+    private var lateSinceMs: Long? = null
     var isFailingOver = false
     var startedAtMs = 0L
 
@@ -67,6 +71,15 @@
         tokens += text
         progressAtMs = nowMs
         probes = 0
+        lateSinceMs = null
+    }
+
+    /** Trusts stages that are merely late again; returns false if that has lasted too long. */
+    fun keepLate(nowMs: Long): Boolean {
+        val sinceMs = lateSinceMs ?: nowMs
+        lateSinceMs = sinceMs
+        failed.retainAll(lost)
+        return nowMs - sinceMs < MAX_LATE_MS
     }
 
     fun send(event: StreamEvent, nowMs: Long): Boolean {
@@ -106,6 +119,9 @@
     private companion object {
         const val GAP_WEIGHT = 0.2
 
+        // An entry gives a stream up ten seconds after its latest token.
+        const val MAX_LATE_MS = 5_000L
+
         // A crash breaks the connection at once, and its report may come after that of the stage
         // before. A frozen engine is reported broken much later, and says nothing about a stream
         // that runs elsewhere by then.
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/PeerReply.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/PeerReply.kt
@@ -5,6 +5,6 @@
     /** The peer answered. */
     data class Answered<out T>(val value: T) : PeerReply<T>
 
-    /** The peer refused the message or did not answer. */
-    data class Failed(val message: String) : PeerReply<Nothing>
+    /** The peer refused the message or did not answer; [isLost] if no message reaches it. */
+    data class Failed(val message: String, val isLost: Boolean = false) : PeerReply<Nothing>
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Rerouter.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Rerouter.kt
@@ -22,7 +22,7 @@
                     when (val reply = peers.reroute(route[index].address, order)) {
                         is PeerReply.Answered -> reply.value.status
                         is PeerReply.Failed ->
-                            return RerouteResult.Unreachable(route[index].instance)
+                            return RerouteResult.Unreachable(route[index].instance, reply.isLost)
                     }
                 }
             if (status == RerouteStatus.NOT_RETAINED) return RerouteResult.NotRetained
@@ -35,7 +35,8 @@
 internal sealed interface RerouteResult {
     data object Applied : RerouteResult
 
-    data class Unreachable(val stage: InstanceId) : RerouteResult
+    /** [stage] did not answer; [isLost] if no message reaches it. */
+    data class Unreachable(val stage: InstanceId, val isLost: Boolean) : RerouteResult
 
     data object NotRetained : RerouteResult
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RouteChange.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/RouteChange.kt
@@ -9,7 +9,15 @@
 
     data object Impossible : RouteChange
 
-    /** The first [informedStages] stages of [route] must learn the route. */
-    data class Changed(val epoch: Int, val route: List<FlowStage>, val informedStages: Int) :
-        RouteChange
+    /**
+     * The first [informedStages] stages of [route] must learn the route.
+     *
+     * @property isLate True if the route keeps stages that have not answered.
+     */
+    data class Changed(
+        val epoch: Int,
+        val route: List<FlowStage>,
+        val informedStages: Int,
+        val isLate: Boolean = false
+    ) : RouteChange
 }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageDaemon.kt
@@ -138,9 +138,12 @@
         )
     runner.localHead = head
     head.ready = engine::ready
-    head.onStagesFailed = { key, stages ->
+    head.onStageFailed = { key, fault ->
+        val stages = setOf(fault.stage)
         notices.report(stages)
-        failover.begin(key, stages)
+        // A stage that reports itself has lost its streams.
+        val lost = if (fault.reporter == fault.stage) stages else emptySet()
+        failover.begin(key, stages, lost)
     }
     parts.membership.addListener { if (isOpen.get()) head.routesChanged() }
     parts.configuration.addListener { if (isOpen.get()) head.classesChanged(it.classes) }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
@@ -95,7 +95,7 @@
 
     private fun <A> decode(result: PeerResult, serializer: KSerializer<A>): PeerReply<A> =
         when (result) {
-            is PeerResult.NotSent -> PeerReply.Failed(result.message)
+            is PeerResult.NotSent -> PeerReply.Failed(result.message, isLost = true)
             is PeerResult.Unknown -> PeerReply.Failed(result.message)
             is PeerResult.Answered ->
                 if (result.isSuccess) {
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Watchdog.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/Watchdog.kt
@@ -68,11 +68,12 @@
 
     private fun judge(stream: Overdue, answers: Map<FlowStage, StageProgress?>) {
         val failed = stream.route.filter { isFailed(answers[it], stream.gapMs) }
+        val isLost = { stage: FlowStage -> answers[stage]?.ready == false }
         when {
             failed.any { it.instance == self } ->
                 head.fail(stream.key, "the backend server does not answer")
             failed.isNotEmpty() ->
-                failover.begin(stream.key, failed.map { it.instance }.toSet())
+                failover.begin(stream.key, instances(failed), instances(failed.filter(isLost)))
             stream.probes >= NUDGE_AFTER_PROBES && isIdle(stream, answers) ->
                 failover.nudge(stream.key)
         }
@@ -83,6 +84,8 @@
             !answer.ready ||
             answer.stepAgeMs > maxOf(limits.stepStallMs.toDouble(), GAPS * gapMs)
 
+    private fun instances(stages: List<FlowStage>) = stages.map { it.instance }.toSet()
+
     // A stage with pending inputs is merely slow; without any, a message was lost.
     private fun isIdle(stream: Overdue, answers: Map<FlowStage, StageProgress?>): Boolean =
         stream.route.none { stage ->
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/SilentStageSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/SilentStageSpec.kt
@@ -40,6 +40,21 @@
                     proxy.setFaults("c1", ProxyFaults())
                 }
             }
+            listOf(
+                "a stage" to listOf("b1", "b2"),
+                "two stages" to listOf("b1", "b2", "c1", "c2")
+            ).forEach { (stages, copies) ->
+                it("keeps its streams while all copies of $stages are silent for a while") {
+                    // Guards against streams that are ended for want of another copy, although the
+                    // copies are merely late.
+                    withFault { _, proxy ->
+                        val hold = ProxyFaults(hold = ProxyDirection.TO_TARGET)
+                        copies.forEach { proxy.setFaults(it, hold) }
+                        Thread.sleep(1_500)
+                        copies.forEach { proxy.setFaults(it, ProxyFaults()) }
+                    }
+                }
+            }
             it("recovers when an engine freezes") {
                 // Guards against a stage that answers while its engine does not.
                 withFault { pipeline, _ ->
