Don't report a step that the stop of its stage interrupts as a crash

Callers saw streams end, and their contents held suspect of crashing engines, when a sidecar was stopped while steps ran: the head ended them as backend_server_crashed instead of moving them to another copy.

Cause: the stop interrupts the batch loop, whose call to the engine then ends as broken, and a broken call counts as a crash. Nothing had happened to the engine.

The guard now takes the result of an interrupted call for nothing. The stage before finds that the stage is gone, and the head moves the streams, as with a process that is killed.

--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/EngineGuard.kt
@@ -44,6 +44,7 @@
      * Runs a step. Several may be in progress, and the engine runs them one after the other.
      *
      * @return Null if the engine was lost and loaded again meanwhile: its streams are lost already.
+     *   Also null if the stage is stopping, which interrupts the call: that is no loss.
      */
     fun step(inputs: List<EngineInput>): EngineResult<List<EngineOutput>>? {
         val load = begin()
@@ -54,7 +55,7 @@
             if (result is EngineResult.Done) {
                 stepTimeEstimator.record(inputs.sumOf { it.payloads.size }, elapsedMs)
             }
-            if (load != loads) return null
+            if (load != loads || Thread.currentThread().isInterrupted) return null
             if (result is EngineResult.Broken || result is EngineResult.NotSent) markLost("$result")
             result
         }
--- a/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageRunnerSpec.kt
+++ b/sidecar/src/test/kotlin/org/jacinthlink/sidecar/stage/StageRunnerSpec.kt
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import org.jacinthlink.api.EngineInput
 import org.jacinthlink.api.EngineOutput
 import org.jacinthlink.api.EngineResult
@@ -72,6 +73,31 @@
                     mapOf(listOf(key("crashes")) to true, listOf(key("bystander")) to false)
             }
         }
+
+        describe("a step that the stop of its stage interrupts") {
+            // Guards against streams that end as if their content had crashed an engine.
+            it("is not reported as a crash") {
+                val isRunning = CountDownLatch(1)
+                val head = FaultsOfHead()
+                val runner = runner {
+                    isRunning.countDown()
+                    try {
+                        CountDownLatch(1).await()
+                    } catch (_: InterruptedException) {
+                        Thread.currentThread().interrupt()
+                    }
+                    EngineResult.Broken("interrupted")
+                }
+                runner.localHead = head
+                val loop = thread { runner.runLoop() }
+                runner.receive(HopBatch(listOf(item("stopped", self))))
+                isRunning.await(5, TimeUnit.SECONDS) shouldBe true
+                loop.interrupt()
+                loop.join(5_000)
+                loop.isAlive shouldBe false
+                head.faults.toList() shouldBe emptyList()
+            }
+        }
     })
 
 private fun key(name: String) = StreamKey(RequestId(name), 0)
