Answer a request whose handler ends with an error of the JVM

A caller whose request ended in an Error (want of heap or stack, a class that cannot be loaded) waited until its own timeout: the request was read, and then in no one's hands.

Cause: UndertowHandler caught exceptions only. An Error left the worker's task while the exchange stayed open, and counted as open for good.

Now each throwable is answered with 500, or ends the exchange if it comes from a deferred answer.

The case of CallService, whose own threads catch exceptions only, is open.

--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/http/UndertowHandler.kt
@@ -84,7 +84,7 @@
     private fun serve(exchange: HttpServerExchange, body: ByteArray) {
         try {
             send(exchange, respond(exchange, body))
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             logger.warn(e) { "event=response_failed" }
             exchange.endExchange()
         }
@@ -114,7 +114,7 @@
             if (sent.compareAndSet(false, true)) {
                 try {
                     send(exchange, later)
-                } catch (e: Exception) {
+                } catch (e: Throwable) {
                     logger.warn(e) { "event=response_failed" }
                     exchange.endExchange()
                 }
@@ -141,7 +141,7 @@
                 )
         return try {
             handler(toRequest(exchange, method, body))
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             logger.error(e) { "event=handler_failed path=${exchange.requestPath}" }
             errorResponse(ResultCode.INTERNAL_ERROR, "internal error: ${e.javaClass.simpleName}")
         }
