Keep a successor while the retry budget allows no other

Cause: an event of the silent server made its successor needless. When that server stood still again, the used up budget forbade another move. It is the class of: what would have answered was given up first.

Now an event of the silent attempt ends its successor only if the budget allows another move. Otherwise both go on; the successor replaces the other one when it answers, or is given up if it is too far behind.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -57,13 +57,20 @@
      * Records an event of [attempt], and returns the attempt that is needless from now on, or null.
      *
      * @param maxLagMs Time by which a successor may be behind the current attempt.
+     * @param mayMoveAgain False if there would be no other successor should the current attempt
+     *   fall silent again.
      */
-    fun answered(attempt: StreamAttempt, maxLagMs: Long): StreamAttempt? {
+    fun answered(
+        attempt: StreamAttempt,
+        maxLagMs: Long,
+        mayMoveAgain: Boolean
+    ): StreamAttempt? {
         val working = current
         val next = successor
         return when {
             working == null || next == null -> null
-            attempt === working -> next.takeIf { moveReason?.isSettledByEvent() == true }
+            attempt === working ->
+                next.takeIf { mayMoveAgain && moveReason?.isSettledByEvent() == true }
             // The caller would wait until the successor has made the events that it has already.
             working.lastActivityAtMs - next.startedAtMs > maxLagMs -> next
             else -> working.also { swap() }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -166,7 +166,8 @@
         if (events.isEmpty()) return
         val nowMs = context.clockMs()
         val isSuccessor = current === handover.successor
-        handover.answered(current, request.route.targetLatencyMs)?.let { needless ->
+        val mayMoveAgain = context.retryBudget.allowsRetry(nowMs)
+        handover.answered(current, request.route.targetLatencyMs, mayMoveAgain)?.let { needless ->
             abandon(needless, "needless")
             moves.ended(hasAnswered = isSuccessor && needless !== current, nowMs)
             if (needless === current) return
--- a/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/StreamGivenUpSpec.kt
@@ -109,6 +109,22 @@
             }
         }
 
+        describe("a stream whose server is silent twice") {
+            // Guards against a successor that is given up although no other one could follow.
+            it("is not cut when its move has used the retry budget up") {
+                val budget = RetryBudgetSettings(ratio = 0.0, extra = 1.5)
+                shortFixture(budget).use { fixture ->
+                    val answer = fixture.streamWhile { first ->
+                        fixture.others(first).forEach { it.fallSilent(SUCCESSOR_SILENT_MS) }
+                        first.fallSilent(FIRST_SILENT_MS)
+                        Thread.sleep(FIRST_SILENT_MS + EVENTS_BETWEEN_MS)
+                        first.fallSilent(LONG_SILENT_MS)
+                    }
+                    shouldBeWhole(answer, SHORT_EVENTS)
+                }
+            }
+        }
+
         describe("a stream whose server is slow to begin") {
             // Guards against runs that are cancelled before anything has replaced them.
             it("keeps its run when all other servers reject it") {
@@ -138,3 +154,9 @@
 /** A successor has been started by then. */
 private const val SUCCESSOR_MS = 150L
 private const val REJECTING_MS = 300L
+
+/** The first server goes on before its successor answers, and then stops for good. */
+private const val FIRST_SILENT_MS = 400L
+private const val SUCCESSOR_SILENT_MS = 700L
+private const val EVENTS_BETWEEN_MS = 100L
+private const val LONG_SILENT_MS = 10_000L
