Check the processes of suspended servers before their callers' results

A run whose callers' results failed ended before its processes were checked, so an end of a process went unreported in just the runs in which it matters most.

--- a/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/soak/SuspendedServerSpec.kt
@@ -34,8 +34,8 @@
                     SuspendedSite(SuspendedForm.FEW, seed, run).use { site ->
                         val results = site.play()
                         withClue("seed $seed, logs in ${site.folder}") {
-                            results.filter { it.status == null || !it.isWhole }.shouldBeEmpty()
                             site.processFailures().shouldBeEmpty()
+                            results.filter { it.status == null || !it.isWhole }.shouldBeEmpty()
                         }
                     }
                 }
@@ -47,8 +47,8 @@
                     SuspendedSite(SuspendedForm.MOST, seed, run).use { site ->
                         val results = site.play()
                         withClue("seed $seed, logs in ${site.folder}") {
-                            site.unexplainedEnds(results).shouldBeEmpty()
                             site.processFailures().shouldBeEmpty()
+                            site.unexplainedEnds(results).shouldBeEmpty()
                         }
                     }
                 }
