Report on the event loop that no socket could be opened

Callers: a router whose descriptors are used up ran the failure of a call, and with it the relay, the path table and the budget, on a foreign thread beside its event loop.

Cause: if no channel can be created, Netty notifies on an executor of its own. The client now passes the outcome of a connection to its loop.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -47,6 +47,11 @@
         loop.execute { runGuarded("task", action) }
     }
 
+    /** Runs [action] at once if this is called on the loop, or else on it as soon as possible. */
+    internal fun runOnLoop(action: () -> Unit) {
+        if (loop.inEventLoop()) action() else execute(action)
+    }
+
     /**
      * Runs [action] after the sockets have been read once more.
      *
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -1,6 +1,8 @@
 package org.jacinthlink.transport
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
@@ -11,10 +13,12 @@
  * Sends HTTP/1.1 requests over pooled connections. It must be used on the event loop only.
  *
  * @param onSurplus Called when a connection is closed because of bytes that belong to no request.
+ * @param newChannel Opens a socket.
  */
 class HttpClient internal constructor(
     private val loop: EventLoop,
-    private val onSurplus: (server: Address, byteCount: Int) -> Unit
+    private val onSurplus: (server: Address, byteCount: Int) -> Unit,
+    private val newChannel: () -> Channel = ::NioSocketChannel
 ) {
     private val idleConnections = HashMap<Address, ArrayDeque<ClientConnection>>()
 
@@ -73,17 +77,20 @@
         val connecting =
             Bootstrap()
                 .group(loop.group)
-                .channel(NioSocketChannel::class.java)
+                .channelFactory(ChannelFactory { newChannel() })
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.request.connectTimeoutMs)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(initializer)
                 .connect(call.request.address.toSocketAddress())
         call.attach(connecting.channel())
+        // Netty reports on a thread of its own that it could not open a socket.
         connecting.addListener {
-            when {
-                call.isEnded -> connecting.channel().close()
-                it.isSuccess -> connection.start(call, isReused = false)
-                else -> call.fail(CallFailure.NOT_CONNECTED)
+            loop.runOnLoop {
+                when {
+                    call.isEnded -> connecting.channel().close()
+                    it.isSuccess -> connection.start(call, isReused = false)
+                    else -> call.fail(CallFailure.NOT_CONNECTED)
+                }
             }
         }
     }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -3,10 +3,12 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import java.io.IOException
 import java.lang.ref.WeakReference
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 class HttpClientSpec :
@@ -37,6 +39,30 @@
             return listener
         }
 
+        describe("a request for which no socket can be opened") {
+            // Guards against relays that run beside the event loop when descriptors are used up.
+            it("fails on the event loop") {
+                val limited = HttpClient(loop, { _, _ -> }, { throw IOException("no descriptor") })
+                val failedOn = CompletableFuture<Thread>()
+                val listener =
+                    object : ClientListener {
+                        override fun onHead(status: Int, headers: List<HeaderField>) = Unit
+
+                        override fun onBody(part: ByteArray) = Unit
+
+                        override fun onComplete() = Unit
+
+                        override fun onFailure(failure: CallFailure) {
+                            failedOn.complete(Thread.currentThread())
+                        }
+                    }
+                val request =
+                    ClientRequest(Address("127.0.0.1", 1), "GET", "/", emptyList(), ByteArray(0))
+                loop.call { limited.send(request, listener) }
+                failedOn.get(5, TimeUnit.SECONDS) shouldBe loop.call { Thread.currentThread() }
+            }
+        }
+
         describe("a response") {
             it("is complete when all bytes of its content length have arrived") {
                 val address = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
