--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -130,27 +130,27 @@
         }
     }
 
-    private fun headReceived(current: StreamAttempt) {
-        val info = current.info
-        context.notices.record(current.path.first, info)
+    private fun headReceived(attempt: StreamAttempt) {
+        val info = attempt.info
+        context.notices.record(attempt.path.first, info)
         when {
-            info.status in SUCCESSES && !info.isSigned -> fail(current, "unsigned answer")
+            info.status in SUCCESSES && !info.isSigned -> fail(attempt, "unsigned answer")
             info.status == OK -> Unit
-            info.hasNotRun -> notRun(current)
+            info.hasNotRun -> notRun(attempt)
             response.hasSentHead || attempts.mayRetry || handover.successor != null ->
-                fail(current, "status ${info.status}")
+                fail(attempt, "status ${info.status}")
             else -> Unit
         }
     }
 
-    private fun notRun(current: StreamAttempt) {
+    private fun notRun(attempt: StreamAttempt) {
         val nowMs = context.clockMs()
         attempts.notRun()
-        current.call?.cancel()
-        ended(current)
-        streamLog.notRun(current)
-        context.paths.rejected(current.path.id, nowMs)
-        failures.checkFaultyServer(current.info)
+        attempt.call?.cancel()
+        ended(attempt)
+        streamLog.notRun(attempt)
+        context.paths.rejected(attempt.path.id, nowMs)
+        failures.checkFaultyServer(attempt.info)
         if (!handover.isEmpty) return moves.ended(hasAnswered = false, nowMs)
         // A request that has had no event is not retried when the retry budget is low: a retry by
         // its caller does not use the budget, and interrupted streams need what is left of it.
@@ -162,67 +162,67 @@
         retryLater(NOT_RUN_PAUSE_MS, "not run")
     }
 
-    private fun eventsReceived(current: StreamAttempt, events: List<StreamEvent>) {
+    private fun eventsReceived(attempt: StreamAttempt, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         val nowMs = context.clockMs()
-        val isSuccessor = current === handover.successor
+        val isSuccessor = attempt === handover.successor
         val mayMoveAgain = context.retryBudget.allowsRetry(nowMs)
-        handover.answered(current, request.route.targetLatencyMs, mayMoveAgain)?.let { needless ->
+        handover.answered(attempt, request.route.targetLatencyMs, mayMoveAgain)?.let { needless ->
             abandon(needless, "needless")
-            moves.ended(hasAnswered = isSuccessor && needless !== current, nowMs)
-            if (needless === current) return
+            moves.ended(hasAnswered = isSuccessor && needless !== attempt, nowMs)
+            if (needless === attempt) return
         }
-        current.lastActivityAtMs = nowMs
-        if (!current.hasEvents) {
-            context.paths.answered(current.reservation)
+        attempt.lastActivityAtMs = nowMs
+        if (!attempt.hasEvents) {
+            context.paths.answered(attempt.reservation)
             context.contents.begun(request.content, nowMs)
         }
-        current.hasEvents = true
+        attempt.hasEvents = true
         val isFirst = response.firstEventAtMs == null
-        if (!response.forward(events, current.info.status, current.callerHeaders, nowMs)) return
+        if (!response.forward(events, attempt.info.status, attempt.callerHeaders, nowMs)) return
         if (isFirst) context.metrics.firstEvent(nowMs - request.startedAtMs)
         attempts.progressed()
         // A caller that reads slowly slows down its engine, instead of filling this process.
-        if (!request.exchange.isWritable) current.call?.setReading(false)
+        if (!request.exchange.isWritable) attempt.call?.setReading(false)
     }
 
-    private fun completed(current: StreamAttempt) {
-        ended(current)
+    private fun completed(attempt: StreamAttempt) {
+        ended(attempt)
         when {
-            current.info.status != OK -> ending.forwardError(current)
-            current.splitter.hasPartialEvent -> endedEarly(current, "partial event")
-            response.lastEventId == null -> endedEarly(current, "no event")
+            attempt.info.status != OK -> ending.forwardError(attempt)
+            attempt.splitter.hasPartialEvent -> endedEarly(attempt, "partial event")
+            response.lastEventId == null -> endedEarly(attempt, "no event")
             // The other attempt may have more events.
-            !current.hasEvents && !handover.isEmpty -> endedEarly(current, "no event")
+            !attempt.hasEvents && !handover.isEmpty -> endedEarly(attempt, "no event")
             else -> {
-                response.end(current.info.status, current.callerHeaders)
+                response.end(attempt.info.status, attempt.callerHeaders)
                 finished(OK, "complete")
             }
         }
     }
 
     /** Without a length, a lost connection looks like the end of a response. */
-    private fun endedEarly(current: StreamAttempt, cause: String) {
-        failures.callFailed(current, CallFailure.CONNECTION_LOST)
-        fail(current, cause)
+    private fun endedEarly(attempt: StreamAttempt, cause: String) {
+        failures.callFailed(attempt, CallFailure.CONNECTION_LOST)
+        fail(attempt, cause)
     }
 
-    /** Ends [current], which has failed or whose answer cannot be used. */
-    private fun fail(current: StreamAttempt, cause: String) {
-        abandon(current, cause)
-        continueAfter(current, cause)
+    /** Ends [attempt], which has failed or whose answer cannot be used. */
+    private fun fail(attempt: StreamAttempt, cause: String) {
+        abandon(attempt, cause)
+        continueAfter(attempt, cause)
     }
 
-    private fun abandon(current: StreamAttempt, cause: String) {
-        current.call?.cancel()
-        ended(current)
-        failures.attemptFailed(current)
-        streamLog.failed(current, cause, response)
+    private fun abandon(attempt: StreamAttempt, cause: String) {
+        attempt.call?.cancel()
+        ended(attempt)
+        failures.attemptFailed(attempt)
+        streamLog.failed(attempt, cause, response)
     }
 
     /** Continues with the other attempt, if one is open, or else with a new one. */
-    private fun continueAfter(current: StreamAttempt, cause: String) {
-        val isSuspect = !response.hasSentHead && failures.isSuspect(current)
+    private fun continueAfter(attempt: StreamAttempt, cause: String) {
+        val isSuspect = !response.hasSentHead && failures.isSuspect(attempt)
         when {
             !handover.isEmpty -> moves.ended(hasAnswered = false, context.clockMs())
             !attempts.mayRetry -> giveUp(cause)
@@ -255,9 +255,9 @@
         streamLog.ended(status, cause, attempts.count, response)
     }
 
-    private fun ended(current: StreamAttempt) {
-        if (!handover.remove(current)) return
-        context.paths.release(current.reservation)
+    private fun ended(attempt: StreamAttempt) {
+        if (!handover.remove(attempt)) return
+        context.paths.release(attempt.reservation)
         context.admission.onFreed(request.service, tokens)
     }
 
