Say in comments what is recorded, received and reported

Read as a newcomer: comments that had to be read twice, the load patterns of RequestWatch, SilenceWatch, StreamMoves and MemoryBounds, and a reason that had been lost (an attempt of which servers may have run a part).

--- a/decision/src/main/kotlin/org/jacinthlink/decision/admission/RequestWatch.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/admission/RequestWatch.kt
@@ -1,7 +1,7 @@
 package org.jacinthlink.decision.admission
 
 /**
- * A request without an outcome that whoever held it has not answered in time.
+ * A request that has not been answered in time.
  *
  * @property id Id of the request, or null if it has none.
  * @property route Name of its route, or null if none was chosen.
@@ -10,10 +10,11 @@
 data class OverdueRequest<T>(val item: T, val id: String?, val route: String?, val ageMs: Long)
 
 /**
- * The requests that have been read and have no outcome yet, whoever holds them.
+ * The requests that have been read and not yet answered, whichever component holds them.
  *
- * A request counts from its reading until it is no longer open. What answers it does not have to
- * report that.
+ * Load pattern: under faults and changes of the configuration, a component drops a request that it
+ * holds, for example because its handler fails or its queue is removed. The client would wait for
+ * an answer that nobody sends.
  */
 class RequestWatch<T> internal constructor(private val isOpen: (T) -> Boolean) {
     private val watched = LinkedHashMap<T, Watched>()
--- a/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
+++ b/decision/src/main/kotlin/org/jacinthlink/decision/paths/PathPlan.kt
@@ -50,7 +50,7 @@
     private val layersByAddress =
         parts.groupBy { it.server.address }.mapValues { (_, own) -> own.sumOf { it.layers.size } }
 
-    /** True if the server at [address] runs a part. */
+    /** True if the server at [address] runs a part of this path. */
     fun passesThrough(address: String): Boolean = address in layersByAddress
 
     /** Number of layers that the server at [address] runs. */
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatPermit.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatPermit.kt
@@ -41,7 +41,7 @@
         if (mode != RunMode.REFUSED && mode != RunMode.WAITING) granted = mode
     }
 
-    /** Takes a crash under [attempt], after which each run needs another permit. */
+    /** Records a crash in [attempt], after which each run needs another permit. */
     fun crashed(attempt: ChatAttempt, event: StreamEvent.Refused, hasTokens: Boolean, nowMs: Long) {
         val suspectParts = if (hasTokens) emptyList() else job.chat.parts
         val crash =
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/SilenceWatch.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/SilenceWatch.kt
@@ -12,7 +12,12 @@
     data object ConnectionLost : SilenceStep
 }
 
-/** Tells a head that is late from a connection that is lost. */
+/**
+ * Distinguishes a head that is late from a connection that is lost.
+ *
+ * Load patterns: a head is silent for a second under load and goes on; or a single connection loses
+ * its packets while its head answers on others.
+ */
 internal class SilenceWatch {
     private var noticed: ChatAttempt? = null
     private var noticedLineAtMs = 0L
--- a/router/src/main/kotlin/org/jacinthlink/router/FailureEnd.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/FailureEnd.kt
@@ -15,7 +15,7 @@
     @Volatile
     private var hasFailed = false
 
-    /** Memory for a report, which is set free once the heap may be full. */
+    /** Reserve that is released when the heap may be full, so that a report can be written. */
     @Volatile
     private var spare: ByteArray? = ByteArray(SPARE_BYTES)
 
@@ -39,7 +39,7 @@
         this.isWorking = isWorking
     }
 
-    /** Keeps a thread whose work is left undone from doing more until the process has ended. */
+    /** Blocks the calling thread, whose work has failed, until the process ends. */
     fun rest() = Thread.sleep(REST_MS)
 
     /** Ends the process when any of its threads ends with an error. */
@@ -64,7 +64,7 @@
         const val POLL_MS = 100L
         const val SPARE_BYTES = 262_144
 
-        /** For the queue of the log; a blocked output must not keep the process. */
+        /** Time to write the queue of the log; a blocked output must not keep the process. */
         const val REPORT_MS = 100L
 
         /** Longer than the end takes, on a busy machine too. */
@@ -72,7 +72,7 @@
     }
 }
 
-/** Ends the process by [failure] when the router's loop is broken, and says why. */
+/** Ends the process by [failure] when the router's loop is broken, and reports the cause. */
 internal class RouterLoopOwner(private val failure: FailureEnd?, private val log: DecisionLog) :
     LoopOwner {
     override fun onBroken() {
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterShutdown.kt
@@ -51,7 +51,7 @@
 
     /**
      * Counts the open requests, with those whose bytes have arrived, on the event loop, which owns
-     * the connections. The result is null if the loop doesn't say until [endsAtMs].
+     * the connections. The result is null if the loop does not run the count by [endsAtMs].
      */
     private fun activeRequests(endsAtMs: Long): Int? {
         val count = CompletableFuture<Int?>()
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/AttemptFailures.kt
@@ -32,7 +32,10 @@
         }
     }
 
-    /** Records that [attempt] has failed or is no longer needed. */
+    /**
+     * Records that [attempt], of which its servers may have run a part, has failed or is no longer
+     * needed.
+     */
     fun attemptFailed(attempt: StreamAttempt) {
         if (attempt.wasUnsent) return
         pathSelection.recordFailure(attempt)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamHandover.kt
@@ -71,7 +71,7 @@
             working == null || next == null -> null
             attempt === working ->
                 next.takeIf { mayMoveAgain && moveReason?.isSettledByEvent() == true }
-            // The caller would wait until the successor has made the events that it has already.
+            // The caller would wait while the successor repeats events that it already has.
             working.lastActivityAtMs - next.startedAtMs > maxLagMs -> next
             else -> working.also { swap() }
         }
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamMoves.kt
@@ -5,7 +5,12 @@
 import org.jacinthlink.decision.retry.MoveReason
 import org.jacinthlink.decision.retry.StreamAttempts
 
-/** Decides whether a streamed request may start an attempt beside the one that is open. */
+/**
+ * Decides whether a streamed request may start an attempt beside the one that is open.
+ *
+ * Load pattern: servers drain, are slow or fall silent while most others reject requests, so that
+ * moves must neither repeat in vain nor use up the budget that lost streams need.
+ */
 internal class StreamMoves(
     private val context: RelayContext,
     private val request: RelayRequest,
@@ -58,7 +63,7 @@
 
 /** Why a stream stays on its path. */
 internal enum class MoveObstacle {
-    /** The request may run only once, or has run often. */
+    /** The request may run only once, or its remaining runs are kept for lost servers. */
     NO_ATTEMPTS_LEFT,
 
     /** Another path has just rejected this stream, or failed it. */
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -83,7 +83,7 @@
         if (obstacle != null) return streamLog.stays(newest, obstacle, nowMs)
         val path = pathSelection.successor(handover.paths, nowMs) ?: return
         if (!context.retryBudget.tryRetry(nowMs)) return
-        // A successor is replaced because it does not answer; why the stream moves is unchanged.
+        // Replacing a successor that does not answer leaves the reason of the move unchanged.
         val moveReason = handover.reason ?: reason
         handover.successor?.let { abandon(it, reason.label) }
         if (reason == MoveReason.ServerSilent) failures.serverSilent(newest)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/DatagramSocket.kt
@@ -48,7 +48,7 @@
                 onDatagram(bytes)
             }
 
-            /** Ignores for example that no socket is open on the port of a stopped peer. */
+            /** Ignores exceptions, for example for a closed port of a stopped peer. */
             @Deprecated("deprecated in Netty")
             override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
                 if (cause is Error) reportFailure("datagram", cause)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -109,7 +109,7 @@
  */
 internal fun reportFailure(what: String, cause: Throwable) {
     val loop = if (breaksLoop(cause)) loopOfThread.get() else null
-    // Nothing may be allocated before the owner knows.
+    // Nothing may be allocated before the owner is notified.
     loop?.onBroken()
     val report = "$what failed: ${cause.stackTraceToString()}"
     if (loop != null) loop.onCause(report) else System.err.println("event loop: $report")
@@ -133,7 +133,7 @@
 private const val MAX_CAUSES = 8
 
 /**
- * Learns that a loop is broken: it has ended without [EventLoop.stop], or an error has left its
+ * Receives the failure of a loop: it has ended without [EventLoop.stop], or an error has left its
  * work undone. A process whose work depends on the loop should then end.
  *
  * The functions may be called on any thread, and more than once.
@@ -161,7 +161,7 @@
 /**
  * Creates an event loop whose thread name begins with [name].
  *
- * @param owner Learns that the loop is broken. By default, standard error gets the cause.
+ * @param owner Receives the failure of the loop. By default, it is reported on standard error.
  */
 fun eventLoop(name: String, owner: LoopOwner = ErrorOutput): EventLoop {
     // Netty would otherwise initialize the process's logging library before it opens a socket.
--- a/transport/src/main/kotlin/org/jacinthlink/transport/MessageQueue.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/MessageQueue.kt
@@ -10,7 +10,7 @@
 
     val isEmpty: Boolean get() = messages.isEmpty()
 
-    /** True if no more should be read. */
+    /** True if no more should be read until the answer has ended. */
     val isFull: Boolean get() = messages.size >= MAX_MESSAGES || bytes >= MAX_BYTES
 
     /** True if the memory of the process admits no more. */
--- a/transport/src/main/kotlin/org/jacinthlink/transport/RequestHeads.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/RequestHeads.kt
@@ -19,7 +19,7 @@
 /** True if this head names exactly one host, as HTTP/1.1 requires. */
 internal fun HttpRequest.hasOneHost(): Boolean = headers().getAll("host").size == 1
 
-/** Gives a client that waits for leave to send its body that leave. */
+/** Sends `100 Continue` to a client that waits for it before it sends its body. */
 internal fun Channel.sendContinue() {
     writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/RequestMemory.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/RequestMemory.kt
@@ -6,7 +6,9 @@
  * How many bytes of requests and unsent answers may be in memory at the same time.
  *
  * Bodies of up to [shortBodyBytes] may fill memory up to [totalBytes], longer ones up to
- * [longBytes] only, so that short requests get through beside a burst of long ones.
+ * [longBytes] only.
+ *
+ * Load pattern: a burst of long bodies fills memory while short requests arrive beside it.
  */
 internal data class MemoryBounds(
     val totalBytes: Long,
