Refuse a body that is announced as too long with 413, not 503

Callers who announce a body over maxBodyBytes, or over the memory bound, were told by a 503 to come back, though it is never accepted; a length near 2^63 passed the bound by an overflow (its bytes were still counted as they came).

Cause: checked the announced length against the memory first, and added it to the bytes in use before the comparison.

The length is checked before the memory is.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/RequestMemory.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/RequestMemory.kt
@@ -17,7 +17,7 @@
 ) {
     /** True if [addedBytes] more may be kept of a body that then has [bodyBytes]. */
     fun admits(usedBytes: Long, addedBytes: Long, bodyBytes: Long): Boolean =
-        usedBytes + addedBytes <= if (bodyBytes <= shortBodyBytes) totalBytes else longBytes
+        addedBytes <= (if (bodyBytes <= shortBodyBytes) totalBytes else longBytes) - usedBytes
 }
 
 /** Bounds for a process with a heap of [heapBytes]. */
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -171,6 +171,7 @@
                 val bytes = HttpUtil.getContentLength(request, 0L)
                 if (bytes > 0) body.expect(bytes)
                 when {
+                    bytes > maxBodyBytes -> refuse(BODY_TOO_LARGE)
                     !memory.admits(bytes, bytes) -> refuseForMemory(request)
                     HttpUtil.is100ContinueExpected(request) -> channel.sendContinue()
                 }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/RequestMemorySpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/RequestMemorySpec.kt
@@ -59,6 +59,12 @@
                 bounds.admits(14_000_000, 16_384, 16_385) shouldBe false
                 bounds.admits(15_999_000, 1_001, 1_001) shouldBe false
             }
+
+            // Guards against an announced length that passes the bound by an overflow.
+            it("doesn't admit the longest length that a head can announce") {
+                memoryBounds(heapBytes = 48_000_000)
+                    .admits(1, Long.MAX_VALUE, Long.MAX_VALUE) shouldBe false
+            }
         }
 
         describe("a request for which there is no memory") {
@@ -101,6 +107,15 @@
                 text shouldNotContain "100 Continue"
             }
 
+            // Guards against clients that are asked to send a body again that is never accepted.
+            it("is refused as too long if its body is longer than allowed") {
+                val server = HoldingServer(loop)
+                server.fill()
+                val bytes = WIDE_LIMITS.maxBodyBytes + 1L
+                val head = "POST /long HTTP/1.1\r\nHost: h\r\nContent-Length: $bytes\r\n\r\n"
+                server.address.connectAndSend(head).readAll() shouldStartWith "HTTP/1.1 413"
+            }
+
             it("is accepted if its body is short") {
                 val server = HoldingServer(loop)
                 server.fill()
