Keep the clients of a server whose memory is filled

Cause: the test dropped its ten clients, and a socket that is garbage collected closes its connection, which frees the memory. What the cases check is as before.

--- a/transport/src/test/kotlin/org/jacinthlink/transport/RequestMemorySpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/RequestMemorySpec.kt
@@ -12,6 +12,9 @@
 private class HoldingServer(private val loop: EventLoop) {
     val handled = CopyOnWriteArrayList<ServerRequest>()
     val held = CopyOnWriteArrayList<ServerExchange>()
+
+    /** Kept, because a socket that is garbage collected closes its connection. */
+    private val clients = CopyOnWriteArrayList<Socket>()
     val memory = RequestMemory(MemoryBounds(13L * BODY_BYTES, 10L * BODY_BYTES, SHORT_BYTES))
     val address = freeAddress().also { listen(loop, it, { WIDE_LIMITS }, memory, ::handle) }
 
@@ -27,6 +30,7 @@
     /** Sends as many requests with a long body as there is memory for. */
     fun fill(): List<Socket> {
         val sockets = (1..10).map { address.connectAndSend(post("/held", BODY_BYTES)) }
+        clients.addAll(sockets)
         await { held.size == 10 }
         return sockets
     }
