--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineResponses.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineResponses.kt
@@ -3,6 +3,17 @@
 import org.jacinthlink.transport.EventLoop
 import org.jacinthlink.transport.HeaderField
 import org.jacinthlink.transport.ServerExchange
+import org.jacinthlink.transport.ServerRequest
+import org.jacinthlink.transport.valueOf
+
+/** Parts of the prompt without the last one, which belongs to the request itself. */
+internal fun sharedParts(request: ServerRequest): List<String> =
+    request.headers.valueOf("Prompt-Prefix").orEmpty()
+        .split(',').map { it.substringBefore(':') }.dropLast(1)
+
+/** The field by which a response names its request. */
+internal fun echoedId(request: ServerRequest): List<HeaderField> =
+    request.headers.filter { it.name == "Attempt-Id" }
 
 /** Starts a stream that sends a byte of its first event now and then, until the client closes. */
 internal fun ServerExchange.drip(loop: EventLoop, headers: List<HeaderField>) {
--- a/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/standins/EngineStandIn.kt
@@ -211,7 +211,7 @@
         runs.add(Run(request))
         exchange.onClientClosed { cancelledCount.incrementAndGet() }
         when {
-            deadlyPart in parts(request) -> crashLater()
+            deadlyPart in sharedParts(request) -> crashLater()
             script == Script.LoseResponse -> exchange.abort()
             script == Script.EndlessBody -> exchange.writeEndless(loop, headers(request))
             script == Script.Dripping -> exchange.drip(loop, headers(request))
@@ -223,11 +223,6 @@
         }
     }
 
-    /** Parts of the prompt without the last one, which belongs to the request itself. */
-    private fun parts(request: ServerRequest): List<String> =
-        request.headers.valueOf("Prompt-Prefix").orEmpty()
-            .split(',').map { it.substringBefore(':') }.dropLast(1)
-
     private fun crashLater() {
         loop.schedule(eventIntervalMs) {
             crashCount.incrementAndGet()
@@ -282,9 +277,6 @@
     private fun headers(request: ServerRequest): List<HeaderField> =
         echoedId(request) + HeaderField("Response-Seal", "seal-$instanceId") + notices()
 
-    private fun echoedId(request: ServerRequest): List<HeaderField> =
-        request.headers.filter { it.name == "Attempt-Id" }
-
     private fun instance() = listOf(HeaderField("Instance", instanceId))
 
     private fun notices(): List<HeaderField> =
