--- a/review/6/java/case6/OddEntry.java
+++ b/review/6/java/case6/OddEntry.java
@@ -31,7 +31,7 @@
         List<Site.Router> routers = List.of(site.router(1).start(), site.router(2).start());
         boolean ready = true;
         for (Site.Router r : routers) ready &= r.awaitReady(30_000);
-        Traffic traffic = new Traffic(site, runners);
+        Traffic traffic = new Traffic(site, runners, 0);
         for (Site.Router r : routers) traffic.clients(r, 6);
         Server.sleep(8_000);
         long before = traffic.served(0, Server.now());
--- a/review/kit-2/java/kit2/Traffic.java
+++ b/review/kit-2/java/kit2/Traffic.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Clients of the service `desk`, each of which sends requests that may run only once over a kept
@@ -36,11 +37,14 @@
     private final List<Runner> runners;
     private final List<Thread> threads = new ArrayList<>();
     public final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final int pauseMs;
     private volatile boolean isOver;
 
-    public Traffic(Site site, List<Runner> runners) {
+    /** Each client pauses for up to [pauseMs] before a request. */
+    public Traffic(Site site, List<Runner> runners, int pauseMs) {
         this.site = site;
         this.runners = runners;
+        this.pauseMs = pauseMs;
     }
 
     public void clients(Site.Router router, int count) {
@@ -87,6 +91,7 @@
     }
 
     private boolean request(Site.Router router, Client c) throws IOException {
+        if (pauseMs > 0) Server.sleep(ThreadLocalRandom.current().nextInt(pauseMs));
         Request r = new Request(Client.newId(), router.machine, Server.now());
         requests.add(r);
         site.note("client sends " + r.id + " to router " + router.machine);
