Bound what a text from outside takes to be parsed

Cause: decodeServer made a tree of the whole value before it looked at a field, and only the depth of the text was checked. A listing also kept the raw values of all its pages until the last one.

Change: JsonBounds measures a text (length, depth, number of values) before any parser takes it, with narrow bounds for what a server says of itself. PrefixWatcher keeps only the decoded values of a page. Changes that are too long for one answer are read by a new listing, where the same watch was sent for ever before; PrefixWatcherSpec fails without that. Unreadable entries are counted, and the log names their length.

Related paths: reports of servers, the configuration, answers of engines, and the messages of entry, sidecar and daemon go through the same bounds.

--- a/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/admin/AdminRoutes.kt
@@ -15,6 +15,7 @@
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
 import org.jacinthlink.api.WorkClass
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.heads.HeadDirectory
 import org.jacinthlink.runtime.configuration.AppliedChange
@@ -95,7 +96,7 @@
     private fun classBody(request: Request, name: String): Outcome<WorkClass> =
         try {
             val body =
-                ProtocolJson.decodeFromString(ClassBody.serializer(), request.bodyString())
+                ProtocolJson.decodeBounded(ClassBody.serializer(), request.bodyString())
             if (body.name == null || body.name == name) {
                 Success(WorkClass(name, body.targetMs, body.tokenGapMs, body.worth))
             } else {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallTransport.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/calls/CallTransport.kt
@@ -9,6 +9,7 @@
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.decision.dispatch.AttemptOutcome
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.runtime.http.PeerCall
@@ -62,7 +63,7 @@
         try {
             if (result.isSuccess) {
                 CallReply.Answer(
-                    ProtocolJson.decodeFromString(CallAnswer.serializer(), result.body)
+                    ProtocolJson.decodeBounded(CallAnswer.serializer(), result.body)
                 )
             } else {
                 readError(result.body)
@@ -72,7 +73,7 @@
         }
 
     private fun readError(body: String): CallReply {
-        val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), body).error
+        val error = ProtocolJson.decodeBounded(ErrorBody.serializer(), body).error
         val message = "${error.name}: ${error.message}"
         if (!error.notRun) return CallReply.None(AttemptOutcome.UNKNOWN, message)
         val code = PASSED_ON.firstOrNull { it.number == error.code }
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatAttempt.kt
@@ -5,6 +5,7 @@
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.StreamEvent
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.decision.dispatch.AttemptOutcome
 import org.jacinthlink.decision.routing.FlowStage
 import org.jacinthlink.runtime.http.LineListener
@@ -68,10 +69,10 @@
         listener.onBroken(this, AttemptEnd(fate, cause))
 
     private fun event(line: String) =
-        ProtocolJson.decodeFromString(StreamEvent.serializer(), line)
+        ProtocolJson.decodeBounded(StreamEvent.serializer(), line)
 
     private fun refusal(line: String): StreamEvent.Refused {
-        val error = ProtocolJson.decodeFromString(ErrorBody.serializer(), line).error
+        val error = ProtocolJson.decodeBounded(ErrorBody.serializer(), line).error
         val code =
             PASSED_ON.firstOrNull { it.number == error.code }
                 ?: if (error.notRun) ResultCode.NO_BACKEND_SERVER else ResultCode.STREAM_FAILED
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRequestParser.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatRequestParser.kt
@@ -13,13 +13,14 @@
 import org.jacinthlink.api.Outcome
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
+import org.jacinthlink.api.parseBounded
 import org.jacinthlink.entry.EntryLimits
 import org.jacinthlink.entry.sha256Hex
 
 /** Reads the body of a chat completion request; every fault names the field and the value seen. */
 internal fun parseChatRequest(body: String, limits: EntryLimits): Outcome<ChatRequest> =
     try {
-        Success(ChatFields(Json.parseToJsonElement(body), limits).read())
+        Success(ChatFields(Json.parseBounded(body), limits).read())
     } catch (e: SerializationException) {
         malformed("the body is not JSON: ${e.message?.lineSequence()?.first()}")
     } catch (e: InvalidField) {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/ChatService.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.api.RequestId
 import org.jacinthlink.api.ResultCode
 import org.jacinthlink.api.Success
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.decision.quarantine.RunMode
 import org.jacinthlink.entry.EntryContext
 import org.jacinthlink.entry.RetryAccount
@@ -49,7 +50,7 @@
     fun handleCrashes(request: Request): Response =
         try {
             val notice =
-                ProtocolJson.decodeFromString(CrashNotice.serializer(), request.bodyString())
+                ProtocolJson.decodeBounded(CrashNotice.serializer(), request.bodyString())
             crashes.noticed(notice.crashes, context.clock.nowMs())
             Response(Status.NO_CONTENT)
         } catch (_: SerializationException) {
--- a/entry/src/main/kotlin/org/jacinthlink/entry/chat/PermitRoutes.kt
+++ b/entry/src/main/kotlin/org/jacinthlink/entry/chat/PermitRoutes.kt
@@ -6,6 +6,7 @@
 import org.http4k.core.Status
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.runtime.http.errorResponse
 import org.jacinthlink.runtime.http.jsonResponse
 
@@ -23,12 +24,12 @@
         }
 
     private fun permit(body: String): String {
-        val ask = ProtocolJson.decodeFromString(PermitAsk.serializer(), body)
+        val ask = ProtocolJson.decodeBounded(PermitAsk.serializer(), body)
         return ProtocolJson.encodeToString(PermitAnswer.serializer(), permits.permit(ask))
     }
 
     private fun runs(body: String): String {
-        val ask = ProtocolJson.decodeFromString(RunsAsk.serializer(), body)
+        val ask = ProtocolJson.decodeBounded(RunsAsk.serializer(), body)
         return ProtocolJson.encodeToString(RunsAnswer.serializer(), permits.runs(ask))
     }
 }
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -88,6 +88,7 @@
         failureDetector: FailureDetector
     ) {
         gauge("jacinthlink.servers") { servers.all.size }
+        gauge("jacinthlink.servers.unreadable") { servers.unreadableCount }
         gauge("jacinthlink.servers.failed") { failureDetector.failed.size }
         gauge("jacinthlink.configuration.version") { configuration.current?.version ?: -1 }
     }
--- a/router/src/main/kotlin/org/jacinthlink/router/state/ConfigurationCache.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/ConfigurationCache.kt
@@ -13,7 +13,7 @@
 
 /** Holds the newest configuration that this process has read. An older one never replaces it. */
 internal class ConfigurationCache(private val log: DecisionLog, private val onNew: () -> Unit) :
-    PrefixListener {
+    PrefixListener<ByteArray> {
     /** Configuration in force, or null before the first one. */
     var current: FleetConfiguration? = null
         private set
@@ -32,14 +32,13 @@
     /** Path of the health check of [service], or null if the service is unknown. */
     fun healthPath(service: String): String? = current?.services?.get(service)?.healthPath
 
-    override fun onSnapshot(items: List<StoreItem>) {
-        items.filter { it.key == CONFIGURATION_KEY }.forEach { read(it.value, "store") }
-    }
+    override fun decode(item: StoreItem): ByteArray? =
+        item.value.takeIf { item.key == CONFIGURATION_KEY }
+
+    override fun onSnapshot(values: List<ByteArray>) = values.forEach { read(it, "store") }
 
     override fun onChange(change: StoreChange) {
-        if (change is StoreChange.Written && change.key == CONFIGURATION_KEY) {
-            read(change.item.value, "store")
-        }
+        if (change is StoreChange.Written) decode(change.item)?.let { read(it, "store") }
     }
 
     /** Applies [value] if it is readable and newer than [current]. */
--- a/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/PrefixWatcher.kt
@@ -12,10 +12,20 @@
 import org.jacinthlink.router.DecisionLog
 import org.jacinthlink.transport.EventLoop
 
-/** Receives the items under a prefix of the store, and their changes. */
-internal interface PrefixListener {
-    /** Takes all items, after a start or when the store's history of changes is lost. */
-    fun onSnapshot(items: List<StoreItem>)
+/**
+ * Receives the items under a prefix of the store, and their changes.
+ *
+ * A listing may have many pages, and any item may be as long as the store allows. So only the
+ * decoded values are kept until the last page.
+ *
+ * @param T What the listener keeps of an item.
+ */
+internal interface PrefixListener<T : Any> {
+    /** What is to be kept of [item], or null if it is of no use or cannot be read. */
+    fun decode(item: StoreItem): T?
+
+    /** Takes all values, after a start or when the store's history of changes is lost. */
+    fun onSnapshot(values: List<T>)
 
     /** Takes a change since the last snapshot. */
     fun onChange(change: StoreChange)
@@ -31,7 +41,7 @@
  * @property waitMs Waiting time of the next call.
  * @param pauseMs Pause after changes, so that changes in quick succession share a call.
  */
-internal class PrefixWatcher(
+internal class PrefixWatcher<T : Any>(
     private val loop: EventLoop,
     private val store: StoreClient,
     private val log: DecisionLog,
@@ -39,7 +49,7 @@
     private val pauseMs: Long,
     private var waitMs: Long,
     private val clockMs: () -> Long,
-    private val listener: PrefixListener
+    private val listener: PrefixListener<T>
 ) {
     private var failures = 0
 
@@ -67,7 +77,7 @@
     }
 
     /** Starts to watch the prefix, from a new listing. */
-    fun start() = list(null, emptyList(), null, nextGeneration())
+    fun start() = list(null, null, nextGeneration())
 
     /**
      * Renews a watch that no longer seems to be answered; called periodically. The former call may
@@ -112,16 +122,11 @@
         start()
     }
 
-    private fun list(
-        after: String?,
-        earlier: List<StoreItem>,
-        firstRevision: Long?,
-        ownGeneration: Int
-    ) {
+    private fun list(after: String?, earlier: PartialListing<T>?, ownGeneration: Int) {
         store.list(prefix, after) { answer ->
             if (ownGeneration != generation) return@list
             when (answer) {
-                is StoreAnswer.Done -> onPage(answer.value, earlier, firstRevision, ownGeneration)
+                is StoreAnswer.Done -> onPage(answer.value, earlier, ownGeneration)
                 else -> retry("list", answer, ownGeneration) { start() }
             }
         }
@@ -129,24 +134,30 @@
 
     private fun onPage(
         page: StoreListing,
-        earlier: List<StoreItem>,
-        firstRevision: Long?,
+        earlier: PartialListing<T>?,
         ownGeneration: Int
     ) {
-        val items = earlier + page.items
-        // Pages are not an atomic snapshot, so the watch starts at the revision of the first page.
-        val revision = firstRevision ?: page.revision
+        val listing = (earlier ?: PartialListing(emptyList(), page.revision, 0)).with(page)
         if (page.isTruncated && page.items.isNotEmpty()) {
-            list(page.items.last().key, items, revision, ownGeneration)
+            list(page.items.last().key, listing, ownGeneration)
         } else {
             onConfirmed()
-            changeRevision = maxOf(changeRevision, items.maxOfOrNull { it.revision } ?: 0)
+            changeRevision = maxOf(changeRevision, listing.newestChange)
             // The listener comes last, so that a fault in it does not end the watch.
-            watch(revision, ownGeneration)
-            listener.onSnapshot(items)
+            watch(listing.revision, ownGeneration)
+            listener.onSnapshot(listing.values)
         }
     }
 
+    private fun PartialListing<T>.with(page: StoreListing): PartialListing<T> {
+        val newest = page.items.maxOfOrNull { it.revision } ?: 0
+        return PartialListing(
+            values + page.items.mapNotNull(listener::decode),
+            revision,
+            maxOf(newestChange, newest)
+        )
+    }
+
     private fun watch(revision: Long, ownGeneration: Int) {
         val position = StorePosition(store.era, revision)
         pending = PendingWatch(position, clockMs(), waitMs + store.timeoutMs)
@@ -167,10 +178,20 @@
                 log.event("store_history_gone", "prefix" to prefix, "revision" to revision)
                 start()
             }
+            StoreAnswer.TooLarge -> {
+                log.event("store_changes_too_large", "prefix" to prefix, "revision" to revision)
+                listAnew()
+            }
             else -> if (openWatches == 0) onWatchFailed(answer, revision)
         }
     }
 
+    /** Takes all items from a listing, whose pages are shorter than the changes were. */
+    private fun listAnew() {
+        val ownGeneration = nextGeneration()
+        loop.schedule(pauseMs) { if (ownGeneration == generation) start() }
+    }
+
     private fun onWatchFailed(answer: StoreAnswer<StoreChanges>, revision: Long) {
         val ownGeneration = nextGeneration()
         retry("watch", answer, ownGeneration) { watch(revision, ownGeneration) }
@@ -210,6 +231,15 @@
         loop.schedule(delayMs) { if (ownGeneration == generation) action() }
     }
 
+    /**
+     * The pages of a listing that have been read.
+     *
+     * @property revision Revision of the first page, at which the watch starts: pages are not an
+     *   atomic snapshot.
+     * @property newestChange Revision of the newest change of the items.
+     */
+    private class PartialListing<T>(val values: List<T>, val revision: Long, val newestChange: Long)
+
     companion object {
         /** Waiting time of a call if nothing requires a shorter one. */
         const val MAX_WAIT_MS = 10_000L
--- a/router/src/main/kotlin/org/jacinthlink/router/state/ServerRegistry.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/ServerRegistry.kt
@@ -18,7 +18,7 @@
     private val log: DecisionLog,
     private val clockMs: () -> Long,
     private val onChanged: () -> Unit
-) : PrefixListener {
+) : PrefixListener<BackendServer> {
     private val servers = LinkedHashMap<String, BackendServer>()
     private val missingSinceMs = HashMap<String, Long>()
     private val layersReportedAtMs = HashMap<String, Long>()
@@ -52,10 +52,13 @@
     /** True if the server at [address] is draining or no longer known. */
     fun isDraining(address: String): Boolean = address !in readyAddresses
 
-    override fun onSnapshot(items: List<StoreItem>) {
-        val seen = items.mapNotNull { decode(it) }
-        log.event("servers_read", "count" to seen.size, "known" to servers.size)
-        replaceAll(seen)
+    /** Number of entries that could not be read so far. */
+    var unreadableCount = 0L
+        private set
+
+    override fun onSnapshot(values: List<BackendServer>) {
+        log.event("servers_read", "count" to values.size, "known" to servers.size)
+        replaceAll(values)
     }
 
     override fun onChange(change: StoreChange) {
@@ -267,11 +270,17 @@
         if (instanceId in servers) missingSinceMs.putIfAbsent(instanceId, clockMs())
     }
 
-    private fun decode(item: StoreItem): BackendServer? =
+    override fun decode(item: StoreItem): BackendServer? =
         when (val decoded = decodeServer(item.key, item.value)) {
             is Decoded.Readable -> decoded.value
             is Decoded.Unreadable -> {
-                log.event("server_unreadable", "key" to item.key, "fault" to decoded.fault)
+                unreadableCount++
+                log.event(
+                    "server_unreadable",
+                    "key" to item.key,
+                    "bytes" to item.value.size,
+                    "fault" to decoded.fault
+                )
                 null
             }
         }
--- a/router/src/main/kotlin/org/jacinthlink/router/state/StoreWatches.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/state/StoreWatches.kt
@@ -18,8 +18,8 @@
  */
 internal class StoreWatches(
     private val instance: String,
-    private val operator: PrefixWatcher,
-    private val servers: PrefixWatcher,
+    private val operator: PrefixWatcher<*>,
+    private val servers: PrefixWatcher<*>,
     private val shortWaitMs: () -> Long
 ) {
     /** Revision of the newest change of the operators' prefix that is known here, or 0. */
@@ -63,7 +63,7 @@
 }
 
 /** Receivers of the items under the operators' prefix and of the entries of the servers. */
-internal class StoreListeners(val operator: PrefixListener, val servers: PrefixListener)
+internal class StoreListeners(val operator: PrefixListener<*>, val servers: PrefixListener<*>)
 
 /**
  * Watches of the router [instance] on [store], whose items [listeners] receive.
@@ -79,7 +79,7 @@
     clockMs: () -> Long,
     shortWaitMs: () -> Long
 ): StoreWatches {
-    fun watch(prefix: String, pauseMs: Long, listener: PrefixListener) =
+    fun <T : Any> watch(prefix: String, pauseMs: Long, listener: PrefixListener<T>) =
         PrefixWatcher(loop, store, log, prefix, pauseMs, shortWaitMs(), clockMs, listener)
     return StoreWatches(
         instance,
--- a/router/src/test/kotlin/org/jacinthlink/router/relay/PathTableSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/relay/PathTableSpec.kt
@@ -8,6 +8,7 @@
 import org.jacinthlink.platform.store.StoreItem
 import org.jacinthlink.router.decisionLog
 import org.jacinthlink.router.state.ServerRegistry
+import org.jacinthlink.router.state.readAll
 
 class PathTableSpec :
     DescribeSpec({
@@ -15,7 +16,7 @@
             // Guards against a stream that leaves a working path although its service has no other.
             it("are no alternatives for each other's streams") {
                 val registry = ServerRegistry(decisionLog("test"), { 0L }) {}
-                registry.onSnapshot(listOf(entry("m1", "a"), entry("m2", "b")))
+                registry.readAll(listOf(entry("m1", "a"), entry("m2", "b")))
                 val paths =
                     PathTable(decisionLog("test"), registry, ServerThrottle(), "a") { emptySet() }
                 val services = listOf("m1", "m2").map {
--- a/router/src/test/kotlin/org/jacinthlink/router/state/ServerRegistrySpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/state/ServerRegistrySpec.kt
@@ -29,7 +29,7 @@
         beforeEach {
             nowMs = 10_000
             registry = ServerRegistry(decisionLog("test"), { nowMs }) {}
-            registry.onSnapshot(listOf(item("a", ""), item("b", "")))
+            registry.readAll(listOf(item("a", ""), item("b", "")))
         }
 
         fun readyIds() = registry.ready("s").map { it.instanceId }
@@ -37,7 +37,7 @@
         describe("a server that is missing after an outage of the store") {
             // Guards against dropping all servers because their entries expired during the outage.
             it("stays for the grace period in which live servers register again") {
-                registry.onSnapshot(listOf(item("a", "")))
+                registry.readAll(listOf(item("a", "")))
                 nowMs += 2_199
                 registry.expire(nowMs)
                 readyIds() shouldContainExactly listOf("a", "b")
@@ -47,7 +47,7 @@
             }
 
             it("stays permanently once it has registered again") {
-                registry.onSnapshot(emptyList())
+                registry.readAll(emptyList())
                 registry.onChange(StoreChange.Written(item("a", "")))
                 nowMs += 5_000
                 registry.expire(nowMs)
@@ -67,7 +67,7 @@
             }
 
             it("stays when the entry of the previous start is read again") {
-                registry.onSnapshot(listOf(item("c", "", bornAtMs = 2), item("a", "")))
+                registry.readAll(listOf(item("c", "", bornAtMs = 2), item("a", "")))
                 readyIds() shouldContainExactly listOf("c")
             }
         }
@@ -87,7 +87,7 @@
             // Guards against a live server that is never used again.
             it("is used once the entry of the previous start is removed") {
                 val other = ServerRegistry(decisionLog("test"), { nowMs }) {}
-                other.onSnapshot(listOf(item("a", "", bornAtMs = 5)))
+                other.readAll(listOf(item("a", "", bornAtMs = 5)))
                 other.onChange(StoreChange.Written(item("b", "", bornAtMs = 3)))
                 other.all.map { it.instanceId } shouldContainExactly listOf("a")
                 other.onChange(StoreChange.Removed("servers/a", 2))
@@ -152,7 +152,7 @@
                 registry.recordDraining(ServerStart("a", 1), "response")
                 readyIds() shouldContainExactly listOf("b")
                 registry.onChange(StoreChange.Written(item("a", "")))
-                registry.onSnapshot(listOf(item("a", ""), item("b", "")))
+                registry.readAll(listOf(item("a", ""), item("b", "")))
                 registry.recordReportedLayers("a", 1, LayerRange(0, 5), nowMs)
                 readyIds() shouldContainExactly listOf("b")
             }
@@ -168,7 +168,7 @@
             // copy in which its entry is still that of a ready server.
             it("gets none when an earlier entry of its start is listed again") {
                 registry.onChange(StoreChange.Written(item("a", "", state = "draining")))
-                registry.onSnapshot(listOf(item("a", ""), item("b", "")))
+                registry.readAll(listOf(item("a", ""), item("b", "")))
                 readyIds() shouldContainExactly listOf("b")
             }
 
@@ -192,7 +192,7 @@
             // Guards against a router that no longer follows the list after one odd entry.
             it("does not affect the other servers") {
                 registry.onChange(StoreChange.Written(unreadable("x")))
-                registry.onSnapshot(listOf(unreadable("x"), item("a", ""), item("b", "")))
+                registry.readAll(listOf(unreadable("x"), item("a", ""), item("b", "")))
                 readyIds() shouldContainExactly listOf("a", "b")
             }
 
@@ -209,7 +209,7 @@
         describe("entries that cannot be read") {
             it("are ignored") {
                 val other = ServerRegistry(decisionLog("test"), { nowMs }) {}
-                other.onSnapshot(listOf(StoreItem("servers/x", "?".toByteArray(), 1, 1, 0)))
+                other.readAll(listOf(StoreItem("servers/x", "?".toByteArray(), 1, 1, 0)))
                 other.all.shouldBeEmpty()
             }
         }
--- a/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
+++ b/runtime/src/main/kotlin/org/jacinthlink/runtime/daemon/DaemonEndpoints.kt
@@ -11,6 +11,7 @@
 import org.jacinthlink.api.InstanceDescription
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.runtime.events.Event
 import org.jacinthlink.runtime.events.EventFilter
 import org.jacinthlink.runtime.http.errorResponse
@@ -84,7 +85,7 @@
     private fun announced(request: Request): Response =
         try {
             val serializer = InstanceDescription.serializer()
-            shell.announced(ProtocolJson.decodeFromString(serializer, request.bodyString()))
+            shell.announced(ProtocolJson.decodeBounded(serializer, request.bodyString()))
             Response(Status.NO_CONTENT)
         } catch (_: SerializationException) {
             errorResponse(ResultCode.MALFORMED_REQUEST, "not a description")
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRoutes.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/calls/CallRoutes.kt
@@ -12,6 +12,7 @@
 import org.jacinthlink.api.CallRequest
 import org.jacinthlink.api.ProtocolJson
 import org.jacinthlink.api.ResultCode
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.runtime.http.PushBody
 import org.jacinthlink.runtime.http.errorResponse
 
@@ -40,7 +41,7 @@
     }
     val message =
         try {
-            ProtocolJson.decodeFromString(format, request.bodyString())
+            ProtocolJson.decodeBounded(format, request.bodyString())
         } catch (e: SerializationException) {
             return errorResponse(ResultCode.MALFORMED_REQUEST, e.message ?: "malformed message")
         }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StagePeers.kt
@@ -13,6 +13,7 @@
 import org.jacinthlink.api.StreamKey
 import org.jacinthlink.api.SuspectReport
 import org.jacinthlink.api.TokenBatch
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.runtime.http.PeerCall
 import org.jacinthlink.runtime.http.PeerClient
 import org.jacinthlink.runtime.http.PeerResult
@@ -107,7 +108,7 @@
 
     private fun <A> decodeBody(body: String, serializer: KSerializer<A>): PeerReply<A> =
         try {
-            PeerReply.Answered(ProtocolJson.decodeFromString(serializer, body))
+            PeerReply.Answered(ProtocolJson.decodeBounded(serializer, body))
         } catch (e: SerializationException) {
             PeerReply.Failed("malformed answer: ${e.message}")
         }
--- a/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRoutes.kt
+++ b/sidecar/src/main/kotlin/org/jacinthlink/sidecar/stage/StageRoutes.kt
@@ -22,6 +22,7 @@
 import org.jacinthlink.api.StreamOpen
 import org.jacinthlink.api.SuspectReport
 import org.jacinthlink.api.TokenBatch
+import org.jacinthlink.api.decodeBounded
 import org.jacinthlink.runtime.http.PushBody
 import org.jacinthlink.runtime.http.errorResponse
 import org.jacinthlink.runtime.http.jsonResponse
@@ -122,7 +123,7 @@
     private fun notFound(path: String) = errorResponse(ResultCode.NOT_FOUND, "no such path: $path")
 
     private fun <T> read(request: Request, serializer: KSerializer<T>): T =
-        ProtocolJson.decodeFromString(serializer, request.bodyString())
+        ProtocolJson.decodeBounded(serializer, request.bodyString())
 
     private fun <T> answer(serializer: KSerializer<T>, value: T): Response =
         jsonResponse(Status.OK, ProtocolJson.encodeToString(serializer, value))
--- a/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
@@ -6,14 +6,19 @@
     data class Answered(val status: Int, val headers: List<HeaderField>, val text: String) :
         BufferedResult
 
-    /** No complete response arrived; [cause] gives the reason. */
-    data class Failed(val cause: String) : BufferedResult
+    /**
+     * No complete response arrived; [cause] gives the reason. If [isTooLarge], the response would
+     * have needed more memory than it may take.
+     */
+    data class Failed(val cause: String, val isTooLarge: Boolean = false) : BufferedResult
 }
 
 /**
  * Sends [request] and calls [onResult] once, with the complete response or with a failure, after
  * [timeoutMs] at the latest. A response that is too large to be buffered is a failure, and so is
  * one that [answersRequest] denies to be the response to this request; its connection is closed.
+ *
+ * @param maxBytes Maximum size of the response's body, or null for what [http] can buffer.
  */
 class BufferedCall(
     loop: EventLoop,
@@ -21,9 +26,10 @@
     private val request: ClientRequest,
     private val timeoutMs: Long,
     private val answersRequest: (BufferedResult.Answered) -> Boolean = { true },
+    maxBytes: Int? = null,
     private val onResult: (BufferedResult) -> Unit
 ) : ClientListener {
-    private val body = http.responseMemory.buffer()
+    private val body = http.responseMemory.run { maxBytes?.let(::buffer) ?: buffer() }
     private var status = 0
     private var headers = emptyList<HeaderField>()
     private val call = http.send(request, this)
@@ -35,14 +41,13 @@
     }
 
     override fun onBody(part: ByteArray) {
-        if (!body.append(part)) fail("response too large")
+        if (!body.append(part)) fail("response too large", isTooLarge = true)
     }
 
     override fun onComplete() {
         timer.cancel()
         body.release()
-        val text = body.toByteArray().toString(Charsets.UTF_8)
-        val answer = BufferedResult.Answered(status, headers, text)
+        val answer = BufferedResult.Answered(status, headers, body.text())
         if (answersRequest(answer)) {
             onResult(answer)
         } else {
@@ -58,10 +63,10 @@
 
     override fun onFailure(failure: CallFailure) = fail(failure.name.lowercase())
 
-    private fun fail(cause: String) {
+    private fun fail(cause: String, isTooLarge: Boolean = false) {
         timer.cancel()
         body.release()
         call.cancel()
-        onResult(BufferedResult.Failed(cause))
+        onResult(BufferedResult.Failed(cause, isTooLarge))
     }
 }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ResponseBuffer.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ResponseBuffer.kt
@@ -16,11 +16,12 @@
     var usedBytes = 0
         private set
 
-    /** Creates a buffer for one body. */
-    fun buffer(): ResponseBuffer = ResponseBuffer(this)
+    /** Creates a buffer for one body, which takes [maxBytes] at most. */
+    fun buffer(maxBytes: Int = this.maxBytes): ResponseBuffer =
+        ResponseBuffer(this, minOf(maxBytes, this.maxBytes))
 
-    internal fun tryReserve(bytes: Int, alreadyReserved: Int): Boolean {
-        if (alreadyReserved + bytes > maxBytes || usedBytes + bytes > maxTotalBytes) return false
+    internal fun tryReserve(bytes: Int): Boolean {
+        if (usedBytes + bytes > maxTotalBytes) return false
         usedBytes += bytes
         return true
     }
@@ -31,13 +32,17 @@
 }
 
 /** The part of a response body that has arrived. */
-class ResponseBuffer internal constructor(private val memory: ResponseMemory) {
+class ResponseBuffer internal constructor(
+    private val memory: ResponseMemory,
+    private val maxBytes: Int
+) {
     private val content = ByteArrayOutputStream()
     private var reservedBytes = 0
 
     /** Adds [part]. Returns false, and adds nothing, if the body is too large to be buffered. */
     fun append(part: ByteArray): Boolean {
-        if (!memory.tryReserve(part.size, reservedBytes)) return false
+        val isTooLong = reservedBytes + part.size > maxBytes
+        if (isTooLong || !memory.tryReserve(part.size)) return false
         reservedBytes += part.size
         content.write(part)
         return true
@@ -46,6 +51,9 @@
     /** The bytes that have been added. */
     fun toByteArray(): ByteArray = content.toByteArray()
 
+    /** The bytes that have been added, as text. */
+    fun text(): String = content.toString(Charsets.UTF_8)
+
     /** Stops counting the buffer against the limits, because it will not be used any more. */
     fun release() {
         memory.release(reservedBytes)
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -185,7 +185,8 @@
                     loop.execute {
                         BufferedCall(loop, client, request, 10_000) { result.complete(it) }
                     }
-                    result.await() shouldBe BufferedResult.Failed("response too large")
+                    result.await() shouldBe
+                        BufferedResult.Failed("response too large", isTooLarge = true)
                 }
             }
 
