Share the time of the event loop among the peers whose bytes it handles

Cause: Netty reads up to 16 buffers of 65,536 bytes from one socket before it goes on to the next, and all of it is decoded at once: up to 175,000 chunks for each connection and turn. The bounds counted bytes of bodies, not work.

Change: one rule for every connection, before its decoder. A socket is read once in a turn, 8,192 bytes at most. A peer's bytes are handled at once while it has used less than 1 ms of the turn, and all together less than 5 ms; the others wait, one buffer for each connection at most, and are handled in rotation after the sockets were read, for 5 ms of each turn. The log and the metrics tell which peers wait and what their bytes take.

--- a/router/src/main/kotlin/org/jacinthlink/router/Router.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/Router.kt
@@ -167,6 +167,7 @@
             )
         peers.start()
         loop.execute {
+            loop.observeInput(heldInputs(log, metrics))
             registerGauges()
             log.event("started", "clients" to settings.clients, "zone" to settings.availabilityZone)
             watches.start()
@@ -193,6 +194,7 @@
             gauge("jacinthlink.streams") { streams.size }
             gauge("jacinthlink.streams.waiting") { admission.streams.waitingCount }
             gauge("jacinthlink.requests.oldest.ms") { requests.oldestAgeMs }
+            gauge("jacinthlink.input.held.connections") { loop.heldInputCount }
             gauge("jacinthlink.peers") { peers.alive.size }
             gauge("jacinthlink.store.age.ms") { watches.ageMs(clockMs()) ?: -1 }
             gauge("jacinthlink.store.calls") { store.callCount }
--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -54,6 +54,9 @@
     /** Counts a connection that was closed because of bytes that belong to no request. */
     fun surplusReceived() = update { it.surplusReceived() }
 
+    /** Counts [count] times that bytes of a peer had to wait for those of others. */
+    fun inputHeld(count: Int) = update { it.inputHeld(count) }
+
     /** Counts a probe of a server for [reason]. */
     fun probed(reason: String) = update { it.probed(reason) }
 
@@ -145,6 +148,9 @@
 
         fun surplusReceived() = registry.counter("jacinthlink.surplus").increment()
 
+        fun inputHeld(count: Int) =
+            registry.counter("jacinthlink.input.held").increment(count.toDouble())
+
         fun probed(reason: String) =
             registry.counter("jacinthlink.probes", "reason", reason).increment()
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -29,6 +29,7 @@
     val address: Address,
     private val client: HttpClient,
     private val input: InputEndHandler,
+    private val paced: PacedInput,
     private val decoder: StrictResponseDecoder
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
@@ -48,7 +49,7 @@
     fun isUsable(nowMs: Long): Boolean {
         if (!ctx.channel().isActive || nowMs >= usableUntilMs) return false
         readArrivedBytes()
-        return ctx.channel().isActive
+        return ctx.channel().isActive && !paced.isHolding
     }
 
     /** Sends the request of [next]. */
@@ -57,8 +58,8 @@
         wasPooled = isReused
         isKeepAlive = true
         interimResponses = 0
-        next.attach(ctx.channel())
-        ctx.channel().config().isAutoRead = true
+        next.attach(ctx.channel(), paced)
+        paced.isWanted = true
         val request = next.request
         decoder.requestStarts(request.method)
         val message =
@@ -179,7 +180,7 @@
         poolAfterRead = isReusable && input.end == null && ctx.channel().isActive
         if (!poolAfterRead) ctx.close()
         // A paused connection would not notice bytes that arrive while it is idle.
-        ctx.channel().config().isAutoRead = true
+        paced.isWanted = true
         current.complete()
     }
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionCall.kt
@@ -6,6 +6,7 @@
 internal class ConnectionCall(val request: ClientRequest, private val listener: ClientListener) :
     ClientCall {
     private var channel: Channel? = null
+    private var input: PacedInput? = null
 
     /** True once the listener is not called any more. */
     var isEnded = false
@@ -18,8 +19,10 @@
     var hasHead = false
         private set
 
-    fun attach(carrier: Channel) {
+    /** Sets the channel of the call and, once it is connected, the [input] of it. */
+    fun attach(carrier: Channel, input: PacedInput? = null) {
         channel = carrier
+        this.input = input
     }
 
     override fun cancel() {
@@ -33,7 +36,7 @@
     }
 
     override fun setReading(isReading: Boolean) {
-        if (!isEnded) channel?.config()?.isAutoRead = isReading
+        if (!isEnded) input?.isWanted = isReading
     }
 
     fun head(status: Int, headers: List<HeaderField>) {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionClosing.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ConnectionClosing.kt
@@ -16,6 +16,7 @@
 internal class ConnectionClosing(
     private val loop: EventLoop,
     private val channel: SocketChannel,
+    private val input: PacedInput,
     private val isBusy: () -> Boolean
 ) {
     private var unsentCount = 0
@@ -70,7 +71,7 @@
     private fun closeOutput() {
         if (closedAtMs != null || !channel.isActive) return
         closedAtMs = monotonicMs()
-        channel.config().isAutoRead = true
+        input.isWanted = true
         channel.shutdownOutput()
     }
 
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -16,6 +16,14 @@
 ) {
     private val loop = group.next()
 
+    /** Shares the time of the loop among the peers whose bytes it handles. */
+    internal val inputs = InputTurns(System::nanoTime, loop::execute) {
+        loop.schedule(it, 0, TimeUnit.NANOSECONDS)
+    }
+
+    /** Number of connections whose bytes wait because their peers have sent too much work. */
+    val heldInputCount: Int get() = inputs.heldCount
+
     @Volatile
     private var isStopping = false
 
@@ -38,6 +46,11 @@
         }
     }
 
+    /** Tells [observer] from now on which peers' bytes have to wait. Runs on the loop only. */
+    fun observeInput(observer: InputObserver) {
+        inputs.observer = observer
+    }
+
     internal fun onBroken() = owner.onBroken()
 
     internal fun onCause(cause: String) = owner.onCause(cause)
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpClient.kt
@@ -67,11 +67,13 @@
         // The connection outlives its first call, and must not keep the body of its request.
         val address = call.request.address
         val decoder = StrictResponseDecoder { onSurplus(address, it) }
-        val connection = ClientConnection(address, this, input, decoder)
+        val paced = PacedInput(loop.inputs, InputPeer.Server(address))
+        val connection = ClientConnection(address, this, input, paced, decoder)
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(input, decoder, HttpRequestEncoder(), connection)
+                    channel.pipeline()
+                        .addLast(input, paced, decoder, HttpRequestEncoder(), connection)
                 }
             }
         val connecting =
@@ -80,6 +82,7 @@
                 .channelFactory(ChannelFactory { newChannel() })
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.request.connectTimeoutMs)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, PacedInput.receiveBuffers())
                 .handler(initializer)
                 .connect(call.request.address.toSocketAddress())
         call.attach(connecting.channel())
--- a/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/HttpListener.kt
@@ -80,10 +80,21 @@
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val currentLimits = limits()
+                val input = PacedInput(loop.inputs, clientHost(channel))
                 val connection =
-                    ServerConnection(loop, channel, limits, memory, handler, connections, pauses)
+                    ServerConnection(
+                        loop,
+                        channel,
+                        input,
+                        limits,
+                        memory,
+                        handler,
+                        connections,
+                        pauses
+                    )
                 channel.pipeline().addLast(
                     ReadActivityHandler(connection),
+                    input,
                     StrictRequestDecoder(currentLimits.maxHeaderBytes),
                     HttpResponseEncoder(),
                     connection
@@ -96,6 +107,7 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, PacedInput.receiveBuffers())
             .childHandler(initializer)
             .bind(address.toSocketAddress())
             .sync()
@@ -103,6 +115,10 @@
     return HttpListener(loop, channel, connections, pauses)
 }
 
+/** The client of a connection that may be closed already. */
+private fun clientHost(channel: SocketChannel): InputPeer =
+    InputPeer.ClientHost(channel.remoteAddress()?.address?.hostAddress.orEmpty())
+
 /** Starts a server on [address] with memory of its own. */
 fun listen(
     loop: EventLoop,
--- /dev/null
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputReport.kt
@@ -0,0 +1,35 @@
+package org.jacinthlink.transport
+
+/** Which peers were held back within a second, and what their input has taken of it. */
+internal class InputReport {
+    private val workNsByPeer = HashMap<InputPeer, Long>()
+    private val heldByPeer = HashMap<InputPeer, Int>()
+    private var startedAtNs: Long? = null
+
+    /** Records that input of [peer] has taken [workNs]. */
+    fun worked(peer: InputPeer, workNs: Long) {
+        workNsByPeer.merge(peer, workNs, Long::plus)
+    }
+
+    /** Records that input of [peer] is held back. */
+    fun held(peer: InputPeer) {
+        heldByPeer.merge(peer, 1, Int::plus)
+    }
+
+    /** Tells [observer] what was recorded, if a second has passed at [nowNs], and starts anew. */
+    fun send(nowNs: Long, observer: InputObserver?) {
+        val startNs = startedAtNs ?: nowNs.also { startedAtNs = it }
+        if (nowNs - startNs < PERIOD_NS) return
+        startedAtNs = nowNs
+        heldByPeer.forEach { (peer, count) ->
+            observer?.onHeld("$peer", count, (workNsByPeer[peer] ?: 0) / NANOS_PER_MS)
+        }
+        heldByPeer.clear()
+        workNsByPeer.clear()
+    }
+
+    private companion object {
+        const val PERIOD_NS = 1_000_000_000L
+        const val NANOS_PER_MS = 1_000_000L
+    }
+}
--- a/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ServerConnection.kt
@@ -24,6 +24,7 @@
 internal class ServerConnection(
     private val loop: EventLoop,
     private val channel: SocketChannel,
+    private val input: PacedInput,
     private val limits: () -> ServerLimits,
     private val memory: RequestMemory,
     private val handler: ServerHandler,
@@ -46,7 +47,7 @@
     /** True once a response has been sent after which the connection closes. */
     private var isClosing = false
     private var isAcceptingQueued = false
-    private val closing = ConnectionClosing(loop, channel) { isBusy }
+    private val closing = ConnectionClosing(loop, channel, input) { isBusy }
 
     /** Bytes of a refused body that have been dropped, or null if none is being read. */
     private var droppedBytes: Long? = null
@@ -147,7 +148,7 @@
 
     private fun enqueue(msg: Any) {
         queue.add(msg)
-        if (queue.isFull || queue.isMemoryFull) channel.config().isAutoRead = false
+        if (queue.isFull || queue.isMemoryFull) input.isWanted = false
     }
 
     private fun accept(msg: Any) {
@@ -254,7 +255,7 @@
         if (!staysOpen) isClosing = true
         if (isClosing || !channel.isActive) return
         acceptQueued()
-        if (!queue.isFull) channel.config().isAutoRead = true
+        if (!queue.isFull) input.isWanted = true
     }
 
     /** Does nothing if it is called for the response to a request that it has just accepted. */
@@ -279,10 +280,9 @@
         lateRefusal = null
         requestStartedAtMs = null
         isClosing = true
-        ChannelExchange(channel, memory, {
-            false
-        }) { _, written -> closing.await(written, false) {} }
-            .respond(status, emptyList(), ByteArray(0))
+        ChannelExchange(channel, memory, { false }) { _, written ->
+            closing.await(written, false) {}
+        }.respond(status, emptyList(), ByteArray(0))
     }
 
     private companion object {
--- a/transport/src/test/kotlin/org/jacinthlink/transport/TestSupport.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/TestSupport.kt
@@ -1,5 +1,6 @@
 package org.jacinthlink.transport
 
+import java.io.ByteArrayOutputStream
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
@@ -70,3 +71,22 @@
         end.complete(failure.name)
     }
 }
+
+/** Collects the body of one response. */
+internal class CollectingListener : ClientListener {
+    /** The body, once the response is complete. */
+    val body = CompletableFuture<ByteArray>()
+    private val bytes = ByteArrayOutputStream()
+
+    override fun onHead(status: Int, headers: List<HeaderField>) = Unit
+
+    override fun onBody(part: ByteArray) = bytes.writeBytes(part)
+
+    override fun onComplete() {
+        body.complete(bytes.toByteArray())
+    }
+
+    override fun onFailure(failure: CallFailure) {
+        body.completeExceptionally(IllegalStateException("$failure"))
+    }
+}
