Write the events of a part at once, and take empty lines for no events

Cause: each pair of line feeds was an event, written and flushed to its caller on its own: 32,768 system calls for one read of 65,536 bytes, before the caller's state was looked at. The events also counted as activity, so no stall was found.

Related: an event that a server repeats within one part is sent to the caller once, and an empty line behind the last event no longer makes a stream count as cut.

--- a/router/src/main/kotlin/org/jacinthlink/router/relay/EventSplitter.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/EventSplitter.kt
@@ -14,14 +14,17 @@
 
 /**
  * Splits the bytes of an event stream into complete events, because a server may stop in the middle
- * of an event.
+ * of an event. Empty lines between events are dropped.
  */
 internal class EventSplitter {
     private val pending = ByteArrayOutputStream()
     private var atLineStart = false
 
+    /** True once a line of the pending event is not empty. */
+    private var hasContent = false
+
     /** True while the first bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean get() = pending.size() > 0
+    val hasPartialEvent: Boolean get() = hasContent
 
     /** Number of bytes of an incomplete event that are buffered. */
     val pendingBytes: Int get() = pending.size()
@@ -31,24 +34,39 @@
         val events = mutableListOf<StreamEvent>()
         var from = 0
         part.forEachIndexed { i, byte ->
-            if (byte == LINE_FEED) {
-                if (atLineStart) {
+            if (endsBlock(byte)) {
+                if (hasContent) {
                     pending.write(part, from, i + 1 - from)
-                    from = i + 1
                     events.add(event(pending.toByteArray()))
-                    pending.reset()
-                    atLineStart = false
-                } else {
-                    atLineStart = true
                 }
-            } else if (byte != CARRIAGE_RETURN) {
-                atLineStart = false
+                from = i + 1
+                startBlock()
             }
         }
         pending.write(part, from, part.size - from)
         return events
     }
 
+    /** Takes the next byte. Returns true if it ends an empty line, and with it an event. */
+    private fun endsBlock(byte: Byte): Boolean {
+        val endsEmptyLine = byte == LINE_FEED && atLineStart
+        when (byte) {
+            LINE_FEED -> atLineStart = true
+            CARRIAGE_RETURN -> Unit
+            else -> {
+                atLineStart = false
+                hasContent = true
+            }
+        }
+        return endsEmptyLine
+    }
+
+    private fun startBlock() {
+        pending.reset()
+        atLineStart = false
+        hasContent = false
+    }
+
     private fun event(bytes: ByteArray): StreamEvent {
         val lines = bytes.toString(Charsets.ISO_8859_1).lines()
         return StreamEvent(bytes, eventId(lines), lines.any(::isPartOfHead))
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAttempt.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamAttempt.kt
@@ -59,8 +59,12 @@
     val isOversized: Boolean
         get() = splitter.pendingBytes > MAX_EVENT_BYTES || errorBody.size() > MAX_ERROR_BYTES
 
-    /** Time of the last event, or of the start of the attempt if there is none. */
+    /** Time of the last new event, or of the start of the attempt if there is none. */
     var lastActivityAtMs = startedAtMs
+        private set
+
+    /** Id of the newest event, or null. */
+    private var newestId: Long? = null
 
     /** True once an event has been received. */
     var hasEvents = false
@@ -74,6 +78,18 @@
     /** True if no byte of the request was sent. */
     var wasUnsent = false
 
+    /**
+     * Records [events] at [nowMs]. Only an event with a higher id than those before is activity:
+     * a server that sends others without end does not work on the request.
+     */
+    fun received(events: List<StreamEvent>, nowMs: Long) {
+        val lastId = newestId ?: Long.MIN_VALUE
+        val id = events.mapNotNull { it.id }.maxOrNull() ?: return
+        if (id <= lastId) return
+        newestId = id
+        lastActivityAtMs = nowMs
+    }
+
     override fun onHead(status: Int, headers: List<HeaderField>) {
         info = responseInfo(status, headers, Instant.now())
         callerHeaders = clientHeaders(headers)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamRelay.kt
@@ -172,7 +172,7 @@
             moves.ended(hasAnswered = isSuccessor && needless !== attempt, nowMs)
             if (needless === attempt) return
         }
-        attempt.lastActivityAtMs = nowMs
+        attempt.received(events, nowMs)
         if (!attempt.hasEvents) {
             context.paths.answered(attempt.reservation, nowMs)
             context.contents.begun(request.content, nowMs)
--- a/router/src/main/kotlin/org/jacinthlink/router/relay/StreamResponse.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/relay/StreamResponse.kt
@@ -48,17 +48,15 @@
         headers: List<HeaderField>,
         nowMs: Long
     ): Boolean {
-        val next = events.filter(::isNext)
+        val next = newAmong(events)
         if (next.isEmpty()) return false
         lastEventAtMs?.let { longestGapMs = maxOf(longestGapMs, nowMs - it) }
         lastEventAtMs = nowMs
         if (firstEventAtMs == null) firstEventAtMs = nowMs
         start(status, headers)
-        next.forEach { event ->
-            lastEventId = event.id ?: lastEventId
-            eventCount++
-            exchange.write(event.bytes)
-        }
+        lastEventId = next.lastOrNull { it.id != null }?.id ?: lastEventId
+        eventCount += next.size
+        exchange.write(joined(next))
         return true
     }
 
@@ -74,8 +72,23 @@
         exchange.startStream(status, headers)
     }
 
-    private fun isNext(event: StreamEvent): Boolean {
-        val last = lastEventId ?: return true
-        return event.id == null || event.id > last
+    /** The bytes of [events], because each write has a cost of its own, however short it is. */
+    private fun joined(events: List<StreamEvent>): ByteArray {
+        val whole = ByteArray(events.sumOf { it.bytes.size })
+        var offset = 0
+        events.forEach {
+            it.bytes.copyInto(whole, offset)
+            offset += it.bytes.size
+        }
+        return whole
+    }
+
+    private fun newAmong(events: List<StreamEvent>): List<StreamEvent> {
+        var newestId = lastEventId ?: Long.MIN_VALUE
+        return events.filter { event ->
+            val isNew = event.id == null || event.id > newestId
+            if (isNew && event.id != null) newestId = event.id
+            isNew
+        }
     }
 }
--- a/router/src/test/kotlin/org/jacinthlink/router/relay/EventSplitterSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/relay/EventSplitterSpec.kt
@@ -20,6 +20,17 @@
                 splitter.hasPartialEvent shouldBe false
             }
 
+            // Guards against a stream that counts as under way because its server sends nothing
+            // but ends of lines (review case 7).
+            it("hold no event where lines are empty") {
+                val splitter = EventSplitter()
+                splitter.feedText("\n\n\r\n\r\n\n\n").shouldContainExactly()
+                splitter.hasPartialEvent shouldBe false
+                splitter.feedText("\n\nid: 1\ndata: x\n\n\n\n") shouldContainExactly
+                    listOf("1:id: 1\ndata: x")
+                splitter.hasPartialEvent shouldBe false
+            }
+
             it("give the same events wherever the input is split") {
                 val text = "id: 1\r\ndata: x\r\n\r\nid: 2\ndata: y\n\n"
                 for (cut in 1 until text.length) {
