Load what ends a process before its memory is full

Runtime.halt needs java.lang.Shutdown, which the JVM loads at its first use; a shutdown hook, as the router has one, loads it earlier. FailureEnd now does so itself.

--- a/router/src/main/kotlin/org/jacinthlink/router/FailureEnd.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/FailureEnd.kt
@@ -23,6 +23,7 @@
     private var isWorking: () -> Boolean = { true }
 
     init {
+        loadHalt()
         val thread = Thread(::awaitFailure, "failure-end")
         thread.isDaemon = true
         thread.start()
@@ -50,6 +51,16 @@
         }
     }
 
+    /**
+     * Loads the classes that the JVM needs to end. Without a shutdown hook it would load them at
+     * the end, for which there may be no memory.
+     */
+    private fun loadHalt() {
+        val hook = Thread {}
+        Runtime.getRuntime().addShutdownHook(hook)
+        Runtime.getRuntime().removeShutdownHook(hook)
+    }
+
     private fun awaitFailure() {
         try {
             while (!hasFailed && isWorking()) Thread.sleep(POLL_MS)
