Never use an idle connection whose surplus bytes are held

Bytes that arrive on an idle connection may be held since the input of peers is paced. The connection was read again then, and the second buffer would have taken the place of the first.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ClientConnection.kt
@@ -48,6 +48,8 @@
     /** True if a request may be sent at [nowMs]. Closes the connection if bytes have arrived. */
     fun isUsable(nowMs: Long): Boolean {
         if (!ctx.channel().isActive || nowMs >= usableUntilMs) return false
+        // Whatever has arrived belongs to no request, also if it has not been handled yet.
+        if (paced.isHolding) return false
         readArrivedBytes()
         return ctx.channel().isActive && !paced.isHolding
     }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputReport.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputReport.kt
@@ -1,5 +1,14 @@
 package org.jacinthlink.transport
 
+/** Receives how long the input of a peer has been held back, for logs and metrics. */
+fun interface InputObserver {
+    /**
+     * Called at most once a second for each peer whose input has been held back [heldCount] times.
+     * All its input took [workMs] of that second.
+     */
+    fun onHeld(peer: String, heldCount: Int, workMs: Long)
+}
+
 /** Which peers were held back within a second, and what their input has taken of it. */
 internal class InputReport {
     private val workNsByPeer = HashMap<InputPeer, Long>()
--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
@@ -1,18 +1,5 @@
 package org.jacinthlink.transport
 
-/** Whom the bytes of a socket come from. All sockets of a peer share its part of the time. */
-internal sealed interface InputPeer {
-    /** A server that this process has connected to. */
-    data class Server(val address: Address) : InputPeer {
-        override fun toString(): String = "$address"
-    }
-
-    /** The host of clients that have connected to this process. */
-    data class ClientHost(val host: String) : InputPeer {
-        override fun toString(): String = host
-    }
-}
-
 /** Bytes that have been received, and that wait until they may be handled. */
 internal interface HeldInput {
     /** Whom the bytes come from. */
@@ -22,15 +9,6 @@
     fun handle()
 }
 
-/** Receives how long the input of a peer has been held back, for logs and metrics. */
-fun interface InputObserver {
-    /**
-     * Called at most once a second for each peer whose input has been held back [heldCount] times.
-     * All its input took [workMs] of that second.
-     */
-    fun onHeld(peer: String, heldCount: Int, workMs: Long)
-}
-
 /**
  * Shares the time of an event loop among the peers whose bytes it handles. All sockets of the loop
  * use it, whatever they receive.
