--- a/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/BufferedCall.kt
@@ -6,11 +6,16 @@
     data class Answered(val status: Int, val headers: List<HeaderField>, val text: String) :
         BufferedResult
 
-    /**
-     * No complete response arrived; [cause] gives the reason. If [isTooLarge], the response would
-     * have needed more memory than it may take.
-     */
-    data class Failed(val cause: String, val isTooLarge: Boolean = false) : BufferedResult
+    /** No complete response arrived; [cause] gives the reason. */
+    data class Failed(val cause: String) : BufferedResult {
+        /** True if the response would have needed more memory than it may take. */
+        val isTooLarge: Boolean get() = cause == TOO_LARGE
+    }
+
+    companion object {
+        /** Cause of the failure of a response that is too large. */
+        internal const val TOO_LARGE = "response too large"
+    }
 }
 
 /**
@@ -41,7 +46,7 @@
     }
 
     override fun onBody(part: ByteArray) {
-        if (!body.append(part)) fail("response too large", isTooLarge = true)
+        if (!body.append(part)) fail(BufferedResult.TOO_LARGE)
     }
 
     override fun onComplete() {
@@ -63,10 +68,10 @@
 
     override fun onFailure(failure: CallFailure) = fail(failure.name.lowercase())
 
-    private fun fail(cause: String, isTooLarge: Boolean = false) {
+    private fun fail(cause: String) {
         timer.cancel()
         body.release()
         call.cancel()
-        onResult(BufferedResult.Failed(cause, isTooLarge))
+        onResult(BufferedResult.Failed(cause))
     }
 }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpClientSpec.kt
@@ -185,8 +185,7 @@
                     loop.execute {
                         BufferedCall(loop, client, request, 10_000) { result.complete(it) }
                     }
-                    result.await() shouldBe
-                        BufferedResult.Failed("response too large", isTooLarge = true)
+                    result.await() shouldBe BufferedResult.Failed("response too large")
                 }
             }
 
