Fail a message in chunks whose chunk does not end where it says

Cause: Netty drops everything between the data of a chunk and the next line feed, so the shift is not noticed. ChunkFraming follows the framing that Netty has read, and accepts a line end only. The same for requests, where bytes there could hide a request; they get 400.

Measured: on the code before, the new case of ShiftedResponseSpec ended by its timeout, and so did that of HttpListenerSpec; both pass.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/StrictResponseDecoder.kt
@@ -21,6 +21,9 @@
  * status line is not one of HTTP/1, if a line of its head or trailer is no field, or if a second
  * status line follows before its head or trailer has ended. Netty accepts most of that.
  *
+ * Bytes of a late response may also stand before the data of a chunk, whose end is then not where
+ * the chunk ends ([ChunkFraming]).
+ *
  * Bytes of a late response may also stand before the body, whose own end then follows as surplus.
  * So a response with a body is rejected if the bytes that arrive together with its end do not begin
  * another response. A surplus that arrives later cannot be awaited without delaying each response.
@@ -32,6 +35,7 @@
     private var awaitsResponse = false
     private var answersHead = false
     private var hasBody = false
+    private val chunks = ChunkFraming()
 
     /** Expects the response to a request with [method]. */
     fun requestStarts(method: String) {
@@ -52,8 +56,11 @@
             ctx.close()
             return
         }
+        val from = buffer.readerIndex()
         super.decode(ctx, buffer, out)
+        if (!chunks.takes(buffer, from, buffer.readerIndex())) return out.failChunk()
         out.forEach(::checkFields)
+        out.forEach { if (it is HttpResponse) chunks.starts(it) }
         if (out.any { it is HttpContent && it.content().isReadable }) hasBody = true
         if (out.lastOrNull() is LastHttpContent && isShifted(buffer)) out.failLast(SHIFTED)
     }
--- a/transport/src/test/kotlin/org/jacinthlink/transport/HttpListenerSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/HttpListenerSpec.kt
@@ -123,6 +123,16 @@
         }
 
         describe("requests that cannot be read safely") {
+            // Guards against request smuggling: a peer that ends a chunk elsewhere sees a request.
+            it("refuses bytes between the data of a chunk and its line end") {
+                val text =
+                    server(handler = echo).connectAndSend(
+                        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                            "2\r\nhi hidden\r\n0\r\n\r\n"
+                    ).readAll()
+                text shouldStartWith "HTTP/1.1 400"
+            }
+
             // Guards against request smuggling: a request hidden in the body of another one.
             it("rejects a request with both Content-Length and Transfer-Encoding") {
                 val text =
--- a/transport/src/test/kotlin/org/jacinthlink/transport/ShiftedResponseSpec.kt
+++ b/transport/src/test/kotlin/org/jacinthlink/transport/ShiftedResponseSpec.kt
@@ -72,6 +72,12 @@
             it("is not taken for a chunk") {
                 unnoticedLengths(CHUNKED, "4\r\nbody\r\n0\r\n\r\n").shouldBeEmpty()
             }
+
+            // Guards against a body that begins with another caller's answer (review case 8).
+            it("is not taken for the data of a chunk") {
+                val after = "$BODY\r\n0\r\n\r\n"
+                unnoticedLengths("${CHUNKED}14\r\n", after).shouldBeEmpty()
+            }
         }
 
         describe("a response that is followed by surplus bytes") {
