--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
@@ -92,11 +92,12 @@
     private fun handleNextPeer() {
         val peer = waiting.keys.first()
         val endsAtNs = clockNs() + SHARE_NS
-        while (clockNs() < endsAtNs && !delayed.isUsedUp) {
+        // One input at least, however late the clock is looked at.
+        do {
             val next = waiting[peer]?.first() ?: return
             remove(next)
             delayed.use(peer, measured(peer, next::handle))
-        }
+        } while (clockNs() < endsAtNs && !delayed.isUsedUp)
         waiting.remove(peer)?.let { waiting[peer] = it }
     }
 
