--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
@@ -10,8 +10,8 @@
 }
 
 /**
- * Shares the time of an event loop among the peers whose bytes it handles. All sockets of the loop
- * use it, whatever they receive.
+ * Shares the time of an event loop among the peers whose bytes it handles. All connections of the
+ * loop use it, whatever they receive; datagrams, which are bounded by their number, do not.
  *
  * A turn of the loop first reads the sockets, each at most once, and then runs its tasks. Bytes
  * that are read are handled at once while their peer and the turn have time left. The others are
