Share out held input by measured work alone

Cause: the loop over a peer's held input read the clock for its decision, beside the reading that measures each input. Change: it decides by the sum of the measured work.

--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputTurns.kt
@@ -91,13 +91,14 @@
     /** Handles input of the first peer until its share is used, and puts it behind the others. */
     private fun handleNextPeer() {
         val peer = waiting.keys.first()
-        val endsAtNs = clockNs() + SHARE_NS
-        // One input at least, however late the clock is looked at.
-        do {
+        var usedNs = 0L
+        while (usedNs < SHARE_NS && !delayed.isUsedUp) {
             val next = waiting[peer]?.first() ?: return
             remove(next)
-            delayed.use(peer, measured(peer, next::handle))
-        } while (clockNs() < endsAtNs && !delayed.isUsedUp)
+            val workNs = measured(peer, next::handle)
+            delayed.use(peer, workNs)
+            usedNs += workNs
+        }
         waiting.remove(peer)?.let { waiting[peer] = it }
     }
 
