Keep the gauges of a router readable after a collection of the heap

What was seen: every gauge without labels shows NaN some time after the start, so that operators see neither the fleet nor the memory of requests, nor how many connections are held back. Cause: the registry refers only weakly to the function that gives the value, and nothing else does. Change: the gauges are registered with the builder, which refers to the function. Result: DecisionLogSpec reads a gauge after a collection: NaN on the code before, its value now.

--- a/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/jacinthlink/router/RouterMetrics.kt
@@ -155,7 +155,8 @@
             registry.counter("jacinthlink.probes", "reason", reason).increment()
 
         fun gauge(name: String, value: () -> Number) {
-            registry.gauge(name, value) { it().toDouble() }
+            // The registry refers only weakly to the object of its other kind of gauge.
+            Gauge.builder(name) { value() }.register(registry)
         }
 
         fun serviceGauge(name: String, service: String, value: () -> Number) {
--- a/router/src/test/kotlin/org/jacinthlink/router/DecisionLogSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/DecisionLogSpec.kt
@@ -35,4 +35,16 @@
                 metrics.text() shouldContain "jacinthlink_answer_seconds_count 1"
             }
         }
+
+        describe("a gauge") {
+            // Guards against gauges that show no number once the heap has been collected.
+            it("shows its value as long as the process runs") {
+                val metrics = RouterMetrics()
+                metrics.open(metrics.loadMeters())
+                val servers = listOf("a", "b")
+                metrics.gauge("jacinthlink.servers") { servers.size }
+                System.gc()
+                metrics.text() shouldContain "jacinthlink_servers 2.0"
+            }
+        }
     })
