Call the store on its event loop in RestoredStoreSpec

Cause: the spec called the store's client from its own thread. A client is used on its event loop only; here the answer came while the other thread was still making the call. Change: the spec makes the call on the loop. It checks the same as before.

--- a/router/src/test/kotlin/org/jacinthlink/router/RestoredStoreSpec.kt
+++ b/router/src/test/kotlin/org/jacinthlink/router/RestoredStoreSpec.kt
@@ -161,7 +161,7 @@
                     val copy = parts.store.copy()
                     await { parts.store.read("quarantine/7") != null }
                     parts.store.restore(copy)
-                    parts.client.get("op/config") {}
+                    parts.loop.execute { parts.client.get("op/config") {} }
                     await { parts.store.read("quarantine/7") != null }
                 }
             }
