--- a/transport/src/main/kotlin/org/jacinthlink/transport/ChunkFraming.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/ChunkFraming.kt
@@ -58,7 +58,7 @@
         return byte == LINE_FEED || byte == CARRIAGE_RETURN
     }
 
-    /** Netty has refused a size that is not one, or too large. */
+    /** Netty has refused a size that is no number, or that is too large. */
     private fun takeSize(byte: Byte) {
         val digit = Character.digit(byte.toInt(), HEX)
         when {
--- a/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/EventLoop.kt
@@ -46,7 +46,7 @@
         }
     }
 
-    /** Tells [observer] from now on which peers' bytes have to wait. Runs on the loop only. */
+    /** Reports the peers whose bytes have to wait to [observer]. Runs on the loop only. */
     fun observeInput(observer: InputObserver) {
         inputs.observer = observer
     }
--- a/transport/src/main/kotlin/org/jacinthlink/transport/InputReport.kt
+++ b/transport/src/main/kotlin/org/jacinthlink/transport/InputReport.kt
@@ -25,7 +25,7 @@
         heldByPeer.merge(peer, 1, Int::plus)
     }
 
-    /** Tells [observer] what was recorded, if a second has passed at [nowNs], and starts anew. */
+    /** Reports what was recorded to [observer] once a second by [nowNs], and starts anew. */
     fun send(nowNs: Long, observer: InputObserver?) {
         val startNs = startedAtNs ?: nowNs.also { startedAtNs = it }
         if (nowNs - startNs < PERIOD_NS) return
